--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,191 @@
+//! The instances that one process hosts. They share nothing but the engine lists on their way in.
+
+use crate::decode::{Fields, Told, settings};
+use crate::encode::{self, Names};
+use pebblevane::interface::*;
+use pebblevane::logic::Logic;
+use serde_json::{Value as Json, json};
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Default)]
+pub struct Host {
+    instances: HashMap<String, Instance>,
+    tables: HashMap<u64, Json>,
+}
+
+struct Instance {
+    manager: String,
+    logic: Logic,
+    engines: Vec<String>,
+    engine_numbers: HashMap<String, EngineId>,
+    jobs: HashMap<u32, JobId>,
+    requests: BTreeMap<JobId, u32>,
+    taken: u32,
+    /// The earliest wake for which a timer is pending.
+    timer: Option<Moment>,
+}
+
+impl Names for Instance {
+    fn manager(&self) -> &str {
+        &self.manager
+    }
+    fn request(&self, job: JobId) -> u32 {
+        self.requests[&job]
+    }
+    fn engine(&self, engine: EngineId) -> &str {
+        &self.engines[engine.0 as usize]
+    }
+}
+
+impl Host {
+    /// Answers one batch; an error names the batch and the field that is wrong.
+    pub fn batch(&mut self, line: &str) -> Told<String> {
+        let batch: Json = serde_json::from_str(line).map_err(|e| format!("the batch is not JSON: {e}"))?;
+        let fields = Fields { name: "batch", json: &batch };
+        let turn = fields.whole("turn")?;
+        let of_turn = |trouble: String| format!("batch {turn}: {trouble}");
+        let now = Moment::from_ms(fields.number("Clock").map_err(of_turn)?);
+        let mut steps = Vec::new();
+        for event in fields.list("arrivals").map_err(of_turn)? {
+            let (name, body) = event
+                .as_object()
+                .filter(|object| object.len() == 1)
+                .and_then(|object| object.iter().next())
+                .ok_or_else(|| {
+                    of_turn("field arrivals: an event must be an object with one key".to_string())
+                })?;
+            self.event(now, Fields { name, json: body }, &mut steps).map_err(of_turn)?;
+        }
+        Ok(json!({"turn": turn, "steps": steps}).to_string())
+    }
+
+    fn event(&mut self, now: Moment, event: Fields, steps: &mut Vec<Json>) -> Told<()> {
+        if event.name == "Directory" {
+            event.list("Members")?;
+            self.tables.insert(event.whole_or_zero("Table")?, event.json["Members"].clone());
+            return Ok(());
+        }
+        let manager = event.text("ManagerId")?;
+        match event.name {
+            "Begin" => {
+                let conf = event.get("Conf").ok_or("Begin: field Conf is missing, an object is wanted")?;
+                let logic = Logic::new(now, event.whole_or_zero("Seed")?, settings(conf));
+                self.instances.insert(manager.to_string(), Instance::new(manager, logic));
+                return Ok(());
+            }
+            "Shutdown" => {
+                self.instances.remove(manager);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let instance = self
+            .instances
+            .get_mut(manager)
+            .ok_or_else(|| format!("{}: field ManagerId names the unknown instance {manager}", event.name))?;
+        if let Some(decided) = instance.call(now, event, &self.tables)? {
+            instance.carry_out(now, decided, steps);
+        }
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(manager: &str, logic: Logic) -> Instance {
+        Instance {
+            manager: manager.to_string(),
+            logic,
+            engines: Vec::new(),
+            engine_numbers: HashMap::new(),
+            jobs: HashMap::new(),
+            requests: BTreeMap::new(),
+            taken: 0,
+            timer: None,
+        }
+    }
+
+    /// Decodes an event into the call that it stands for; none if there is nothing to call.
+    fn call(&mut self, now: Moment, event: Fields, tables: &HashMap<u64, Json>) -> Told<Option<Decided>> {
+        let job = match event.name {
+            "Reply" | "Expired" | "Progress" | "HeadReceived" => {
+                match self.jobs.get(&(event.whole("RequestId")? as u32)) {
+                    Some(job) => *job,
+                    None => return Ok(None),
+                }
+            }
+            _ => JobId(self.taken),
+        };
+        Ok(Some(match event.name {
+            "Ingress" => {
+                let request = event.whole("RequestId")? as u32;
+                let taken = event.job()?;
+                self.taken += 1;
+                self.jobs.insert(request, job);
+                self.requests.insert(job, request);
+                self.logic.take(now, job, taken)
+            }
+            "Reply" => {
+                let outcome = event.outcome()?;
+                self.logic.settle(now, job, event.whole_or_zero("Copy")? as u32, outcome)
+            }
+            "Progress" => match event.note()? {
+                Some(note) => self.logic.progress(now, job, event.whole_or_zero("Copy")? as u32, note),
+                None => return Ok(None),
+            },
+            "HeadReceived" => self.logic.answer_begun(now, job, event.whole_or_zero("Copy")? as u32),
+            "Expired" => self.logic.gone(now, job),
+            "Checked" => {
+                let name = event.text("Engine")?;
+                match self.engine_numbers.get(name) {
+                    Some(&engine) => self.logic.probed(now, engine, event.verdict()?, event.report()),
+                    None => return Ok(None),
+                }
+            }
+            "TimeoutFired" => {
+                if self.timer.is_some_and(|due| due <= now) {
+                    self.timer = None;
+                }
+                self.logic.wake(now)
+            }
+            "DirectoryUpdate" => match event.text("Kind")? {
+                "refused" => self.logic.list_refused(now),
+                kind => {
+                    let table = event.whole_or_zero("Table")?;
+                    let members = tables.get(&table).and_then(Json::as_array).ok_or_else(|| {
+                        format!("DirectoryUpdate: field Table names the unknown list {table}")
+                    })?;
+                    let mut listings = Vec::with_capacity(members.len());
+                    for json in members {
+                        listings.push(Fields { name: "Members", json }.listing(|name| self.number(name))?);
+                    }
+                    self.logic.engines_changed(now, kind != "changes", listings)
+                }
+            },
+            _ => return Ok(None),
+        }))
+    }
+
+    fn number(&mut self, name: &str) -> EngineId {
+        if let Some(number) = self.engine_numbers.get(name) {
+            return *number;
+        }
+        let number = EngineId(self.engines.len() as u32);
+        self.engines.push(name.to_string());
+        self.engine_numbers.insert(name.to_string(), number);
+        number
+    }
+
+    fn carry_out(&mut self, now: Moment, decided: Decided, steps: &mut Vec<Json>) {
+        encode::steps(&decided, self, steps);
+        if let Some(wake) = decided.next_wake.filter(|wake| self.timer.is_none_or(|due| *wake < due)) {
+            let from_now = (wake - now).ms().max(0.0);
+            steps.push(json!({"SetTimer": {"ManagerId": self.manager, "FromNow": from_now, "Tag": 0}}));
+            self.timer = Some(wake.max(now));
+        }
+        for job in decided.released {
+            if let Some(request) = self.requests.remove(&job) {
+                self.jobs.remove(&request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,1057 @@
+//! Every decision of the gateway: which job goes to which engine, when, and what is throttled.
+//!
+//! How to call it: [`Logic::new`] takes the settings and a seed; then [`Logic::engines_changed`] tells the
+//! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a dispatch
+//! fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked for. Each
+//! returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why things are
+//! decided so is told in `docs/design.md`.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a step of a job leaves behind: it is handed the step's result and says what comes next.
+type Next = Box<dyn FnOnce(&mut Logic, JobId, Verdict)>;
+/// What is to be done at some time.
+type Later = Box<dyn FnOnce(&mut Logic)>;
+
+const ALPHA: f64 = 0.03; // step of the latency averages, as in the paper
+const LAMBDA: f64 = 0.5; // ridge of the residual's posterior, as in the paper
+const SIGMA: f64 = 0.1; // spread of its draws
+const DEVIATIONS: usize = 128; // K, deviations behind the covariance
+const GAMMA_EVERY: Span = Span(2_000_000); // S
+const GAMMA_STEP: f64 = 0.05; // c
+const RATE_SHIFT: f64 = 1.0; // b, as in the paper
+const BEAT: Span = Span(250_000); // pace of all upkeep
+const PROBE_EVERY: Span = Span(500_000);
+const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
+const STRAIN_AIM: f64 = 0.5; // share of their SLA time that jobs should take
+const SHED_GAIN: f64 = 0.5; // how fast the shed share follows strain, a second
+const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
+
+/// A mean and a rate whose past fades; brought up to date when touched.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    sum: f64,
+    weight: f64,
+    at: Moment,
+}
+
+impl Fading {
+    fn touch(&mut self, now: Moment) {
+        let keep = (-((now - self.at).ms() / RECENT.ms())).exp();
+        (self.sum, self.weight, self.at) = (self.sum * keep, self.weight * keep, now);
+    }
+    fn add(&mut self, now: Moment, x: f64, weight: f64) {
+        self.touch(now);
+        self.sum += x * weight;
+        self.weight += weight;
+    }
+    fn mean_or(&self, absent: f64) -> f64 {
+        if self.weight > 1e-9 { self.sum / self.weight } else { absent }
+    }
+    fn per_second(&mut self, now: Moment) -> f64 {
+        self.touch(now);
+        self.weight / (RECENT.ms() / 1000.0)
+    }
+}
+
+/// A permuted congruential generator (PCG-XSH-RR).
+struct Chance(u64);
+
+impl Chance {
+    fn next(&mut self) -> f64 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let mixed = (((old >> 18) ^ old) >> 27) as u32;
+        f64::from(mixed.rotate_right((old >> 59) as u32)) / 4294967296.0
+    }
+    fn normal(&mut self) -> f64 {
+        let radius = (-2.0 * (1.0 - self.next()).ln()).sqrt();
+        radius * (std::f64::consts::TAU * self.next()).cos()
+    }
+}
+
+/// The linear posterior behind the Thompson draw: V = λI + Σ x·xᵀ and b = Σ x·(Δ − s).
+struct Residual {
+    v: [[f64; 3]; 3],
+    b: [f64; 3],
+}
+
+impl Residual {
+    fn learn(&mut self, x: [f64; 3], target: f64) {
+        for i in 0..3 {
+            (0..3).for_each(|j| self.v[i][j] += x[i] * x[j]);
+            self.b[i] += x[i] * target;
+        }
+    }
+    /// θ̃ ~ N(V⁻¹b, σ²V⁻¹) by way of the Cholesky factor V = L·Lᵀ: θ̃ = L⁻ᵀ(L⁻¹b + σε).
+    fn draw(&self, chance: &mut Chance) -> [f64; 3] {
+        let mut l = [[0.0; 3]; 3];
+        let mut y = [0.0; 3];
+        for i in 0..3 {
+            for j in 0..=i {
+                let rest = self.v[i][j] - (0..j).map(|k| l[i][k] * l[j][k]).sum::<f64>();
+                l[i][j] = if i == j { rest.max(1e-12).sqrt() } else { rest / l[j][j] };
+            }
+            y[i] = (self.b[i] - (0..i).map(|k| l[i][k] * y[k]).sum::<f64>()) / l[i][i];
+        }
+        let mut theta = y.map(|mean| mean + SIGMA * chance.normal());
+        for i in (0..3).rev() {
+            theta[i] = (theta[i] - (i + 1..3).map(|k| l[k][i] * theta[k]).sum::<f64>()) / l[i][i];
+        }
+        theta
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Effect {
+    Restartable,
+    Keyed,
+    RunOnce,
+}
+
+/// A reservation type: what the settings say of it and what was learnt of its jobs.
+struct Reservation {
+    effect: Effect,
+    group: String,
+    window: Span,
+    sla: Span,
+    stretch: f64,
+    late_value: f64,
+    billed: f64,
+    threads: f64,
+    holds: bool,
+    waits: bool,
+    ordered: bool,
+    locations: Option<Vec<f64>>,
+    machines: Option<Vec<f64>>,
+    told_cost: Fading,
+    true_cost: Fading,
+    memory: Fading,
+    latency: Option<f64>,
+}
+
+impl Reservation {
+    fn read(settings: &Settings, i: usize) -> Reservation {
+        let number = |name: &str| settings.number(&format!("Classes.{i}.{name}")).unwrap_or(0.0);
+        let flag = |name: &str| settings.flag(&format!("Classes.{i}.{name}"));
+        let extra = |name: &str| format!("Extra.{name}.{i}");
+        Reservation {
+            effect: match settings.text(&format!("Classes.{i}.Semantics")) {
+                "read_like" => Effect::Restartable,
+                "idempotency_key" => Effect::Keyed,
+                _ => Effect::RunOnce,
+            },
+            group: settings.text(&format!("Classes.{i}.Group")).to_string(),
+            window: Span::from_ms(number("DedupWindow")),
+            sla: Span::from_ms(number("Aim")),
+            stretch: number("AimStretch"),
+            late_value: number("LateValue"),
+            billed: number("Worth"),
+            threads: settings.number(&extra("ClassThreads")).unwrap_or(1.0).max(1.0),
+            holds: settings.flag(&extra("IsLoad")),
+            waits: settings.flag(&extra("WaitsForLoads")),
+            ordered: flag("ByArrival"),
+            locations: settings.numbers(&format!("Classes.{i}.ConfinedTo")),
+            machines: settings.numbers(&format!("Classes.{i}.BoundTo")),
+            told_cost: Fading::default(),
+            true_cost: Fading::default(),
+            memory: Fading::default(),
+            latency: None,
+        }
+    }
+    /// The usual work of one job, in milliseconds on one thread.
+    fn usual_work(&self) -> f64 {
+        self.true_cost.mean_or(self.told_cost.mean_or(self.sla.ms() * self.threads / 2.0))
+    }
+}
+
+struct Engine {
+    listing: Listing,
+    hash: u64,
+    cores: f64,
+    memory_mb: f64,
+    latency: Vec<Option<f64>>,
+    processor: Option<f64>,
+    memory: Option<f64>,
+    threads: f64,
+    memory_out: f64,
+    outs: u32,
+    /// Left alone until then, for `backoff`; after that on trial, one job at a time, until it answers.
+    shunned_until: Moment,
+    backoff: Span,
+    on_trial: bool,
+    heard: Moment,
+    probe_out: bool,
+    probed: Moment,
+    /// Usual work sent of late, for the cold budget.
+    sent: VecDeque<(Moment, f64)>,
+    /// Table groups known to be held by a load, and until when that is believed.
+    holds: BTreeMap<u64, Moment>,
+}
+
+/// A dispatch that is out.
+struct Out {
+    engine: usize,
+    copy: u32,
+    sent: Moment,
+    choice: Option<Choice>,
+    share: f64,
+    noted: Moment,
+    recalled: bool,
+    next: Next,
+}
+
+/// What the mechanism knew when it chose within a pair.
+#[derive(Clone, Copy)]
+struct Choice {
+    pair: [usize; 2],
+    x: [f64; 3],
+    s: f64,
+}
+
+struct Held {
+    job: Job,
+    taken: Moment,
+    ends: Moment,
+    sla_ends: Moment,
+    cost: f64,
+    memory: f64,
+    copies: u32,
+    out: Option<Out>,
+    /// The first dispatch that may have run: its engine and when it was sent.
+    may_have_run: Option<(usize, Moment)>,
+    unsure_at: Option<Moment>,
+    last: Option<usize>,
+    over: bool,
+    rank: u8,
+}
+
+pub struct Logic {
+    settings: Settings,
+    now: Moment,
+    chance: Chance,
+    types: Vec<Reservation>,
+    engines: BTreeMap<usize, Engine>,
+    jobs: BTreeMap<JobId, Held>,
+    waiting: Vec<JobId>,
+    turns: BTreeMap<u64, VecDeque<JobId>>,
+    rests: BTreeMap<u64, Moment>,
+    later: BTreeMap<(Moment, u64), Later>,
+    laters: u64,
+    decided: Decided,
+    gateways: f64,
+    residual: Residual,
+    deviations: VecDeque<[f64; 2]>,
+    gamma: [f64; 2],
+    gamma_steps: f64,
+    gamma_at: Moment,
+    arrivals: Fading,
+    strain: Fading,
+    shed: f64,
+    price: f64,
+    /// Billed value for a second of work, and that work, of the jobs taken last.
+    offers: VecDeque<(f64, f64)>,
+    /// When jobs were taken and when dispatches beyond a job's first were made, for the budget.
+    budget: VecDeque<(Moment, bool)>,
+    customers: Vec<Fading>,
+}
+
+fn sigmoid(x: f64) -> f64 {
+    1.0 / (1.0 + (-x).exp())
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
+    x ^ (x >> 31)
+}
+
+impl Logic {
+    pub fn new(now: Moment, seed: u64, settings: Settings) -> Logic {
+        let types =
+            (0..settings.entries("Classes", "Aim")).map(|i| Reservation::read(&settings, i)).collect();
+        let mut logic = Logic {
+            now,
+            chance: Chance(mix(seed)),
+            types,
+            engines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            waiting: Vec::new(),
+            turns: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            later: BTreeMap::new(),
+            laters: 0,
+            decided: Decided::default(),
+            gateways: settings.number("Balancers").unwrap_or(1.0).max(1.0),
+            residual: Residual {
+                v: [0, 1, 2].map(|i| [0, 1, 2].map(|j| if i == j { LAMBDA } else { 0.0 })),
+                b: [0.0; 3],
+            },
+            deviations: VecDeque::new(),
+            gamma: [0.5; 2],
+            gamma_steps: 0.0,
+            gamma_at: now,
+            arrivals: Fading::default(),
+            strain: Fading::default(),
+            shed: 0.0,
+            price: 0.0,
+            offers: VecDeque::new(),
+            budget: VecDeque::new(),
+            customers: vec![Fading::default(); settings.entries("Accounts", "QuotaRps")],
+            settings,
+        };
+        logic.decided.subscribe = logic.settings.text("MembershipMode") == "ask";
+        logic.after(BEAT, |logic| logic.beat());
+        logic
+    }
+
+    // ---- calls -------------------------------------------------------------------------------------------
+
+    pub fn engines_changed(&mut self, now: Moment, complete: bool, listings: Vec<Listing>) -> Decided {
+        self.now = now;
+        let mut seen = Vec::new();
+        for listing in listings {
+            seen.push(listing.engine.0 as usize);
+            self.list(listing);
+        }
+        if complete {
+            for (_, engine) in self.engines.iter_mut().filter(|(id, _)| !seen.contains(id)) {
+                engine.listing.stage = Stage::Gone;
+            }
+        }
+        self.place_waiting();
+        self.finish()
+    }
+
+    /// A call to the engine list failed: the old list stands, and the subscription is asked for again.
+    pub fn list_refused(&mut self, now: Moment) -> Decided {
+        self.now = now;
+        if self.settings.text("MembershipMode") == "ask" {
+            let pause = BEAT.times(1.0 + 3.0 * self.chance.next());
+            self.after(pause, |logic| logic.decided.subscribe = true);
+        }
+        self.finish()
+    }
+
+    pub fn take(&mut self, now: Moment, id: JobId, job: Job) -> Decided {
+        self.now = now;
+        self.arrivals.add(now, 0.0, 1.0);
+        self.budget.push_back((now, false));
+        let kind = &mut self.types[job.reservation];
+        let told = job.cost.map(Span::ms);
+        if let Some(told) = told {
+            kind.told_cost.add(now, told, 1.0);
+        }
+        if let Some(memory) = job.memory_mb {
+            kind.memory.add(now, memory, 1.0);
+        }
+        let bias = kind.usual_work() / kind.told_cost.mean_or(kind.usual_work()).max(1e-6);
+        let cost = told.map_or(kind.usual_work(), |told| told * bias);
+        let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
+        let held = Held {
+            taken: now,
+            ends: now + job.left,
+            sla_ends: now + sla,
+            cost,
+            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
+            copies: 0,
+            out: None,
+            may_have_run: None,
+            unsure_at: None,
+            last: None,
+            over: false,
+            rank: 1,
+            job,
+        };
+        let (guard, value) = (held.ends - self.guard(), self.value(&held));
+        if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
+            self.turns.entry(key).or_default().push_back(id);
+        }
+        self.jobs.insert(id, held);
+        self.offers.push_back((value, cost));
+        if self.offers.len() > 256 {
+            self.offers.pop_front();
+        }
+        self.at(guard, move |logic| logic.give_up(id));
+        if value < self.price {
+            self.give_up(id);
+        } else {
+            self.place(id);
+        }
+        self.finish()
+    }
+
+    pub fn settle(&mut self, now: Moment, id: JobId, copy: u32, outcome: Outcome) -> Decided {
+        self.now = now;
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return self.finish();
+        };
+        held.over |= outcome.over;
+        let Some(out) = held.out.take_if(|out| out.copy == copy) else {
+            return self.finish();
+        };
+        let ran = !matches!(outcome.verdict, Verdict::Full | Verdict::Unreachable | Verdict::Void);
+        if ran && held.may_have_run.is_none() {
+            held.may_have_run = Some((out.engine, out.sent));
+        }
+        if matches!(outcome.verdict, Verdict::TimedOut | Verdict::Broken | Verdict::Withdrawn) {
+            held.unsure_at = Some(now);
+        }
+        self.learn(id, &out, &outcome);
+        (out.next)(self, id, outcome.verdict);
+        self.release(id);
+        self.place_waiting();
+        self.finish()
+    }
+
+    pub fn progress(&mut self, now: Moment, id: JobId, copy: u32, note: Note) -> Decided {
+        self.now = now;
+        if let Some(held) = self.jobs.get_mut(&id)
+            && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
+        {
+            out.noted = now;
+            let group = held.job.group;
+            if let Note::Share(share) = note {
+                out.share = share;
+            }
+            if let Some(engine) = self.engines.get_mut(&out.engine) {
+                engine.heard = now;
+                if note == Note::WaitsForLoad {
+                    engine.holds.insert(group, now + Span::from_ms(1000.0));
+                }
+            }
+            self.reconsider(id);
+        }
+        self.finish()
+    }
+
+    /// A streamed answer has begun: from here on the job is the client's.
+    pub fn answer_begun(&mut self, now: Moment, id: JobId, copy: u32) -> Decided {
+        self.now = now;
+        if let Some(held) =
+            self.jobs.get_mut(&id).filter(|held| held.out.as_ref().is_some_and(|out| out.copy == copy))
+        {
+            held.over = true;
+        }
+        self.finish()
+    }
+
+    /// The client has left.
+    pub fn gone(&mut self, now: Moment, id: JobId) -> Decided {
+        self.now = now;
+        if let Some(held) = self.jobs.get_mut(&id) {
+            held.over = true;
+            self.release(id);
+        }
+        self.finish()
+    }
+
+    pub fn probed(&mut self, now: Moment, engine: EngineId, verdict: Verdict, report: Report) -> Decided {
+        self.now = now;
+        let id = engine.0 as usize;
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.probe_out = false;
+            match verdict {
+                Verdict::Done => {
+                    engine.heard = now;
+                    engine.shunned_until = engine.shunned_until.min(now);
+                }
+                Verdict::Unreachable => self.shun(id),
+                _ => {}
+            }
+        }
+        self.read_report(id, &report);
+        self.finish()
+    }
+
+    pub fn wake(&mut self, now: Moment) -> Decided {
+        self.now = now;
+        while let Some(due) = self.later.first_entry().filter(|due| due.key().0 <= now) {
+            due.remove()(self);
+        }
+        self.finish()
+    }
+
+    // ---- small parts -------------------------------------------------------------------------------------
+
+    fn finish(&mut self) -> Decided {
+        self.decided.next_wake = self.later.keys().next().map(|(when, _)| *when);
+        std::mem::take(&mut self.decided)
+    }
+
+    fn at(&mut self, when: Moment, what: impl FnOnce(&mut Logic) + 'static) {
+        self.laters += 1;
+        self.later.insert((when, self.laters), Box::new(what));
+    }
+
+    fn after(&mut self, pause: Span, what: impl FnOnce(&mut Logic) + 'static) {
+        self.at(self.now + pause, what);
+    }
+
+    /// How long before a client leaves its final answer is given: two ticks, for the clock's coarseness.
+    fn guard(&self) -> Span {
+        Span::from_ms(2.0 * self.settings.number("Tick").unwrap_or(1.0))
+    }
+
+    fn contract(&self, name: &str) -> f64 {
+        self.settings.number(&format!("Contract.{name}")).unwrap_or(0.0)
+    }
+
+    fn span(&self, name: &str) -> Span {
+        Span::from_ms(self.contract(name))
+    }
+
+    /// Billed value for a second of work; a customer's jobs beyond its share count for what they then pay.
+    fn value(&mut self, held: &Held) -> f64 {
+        let mut billed = self.types[held.job.reservation].billed;
+        let quota = self.settings.number(&format!("Accounts.{}.QuotaRps", held.job.customer));
+        if let (Some(own), Some(quota)) = (self.customers.get_mut(held.job.customer), quota) {
+            own.add(self.now, 0.0, 1.0);
+            if own.per_second(self.now) > quota / self.gateways {
+                billed *= self.settings.number("OverShareWorth").unwrap_or(1.0);
+            }
+        }
+        billed / (held.cost.max(1.0) / 1000.0)
+    }
+
+    fn list(&mut self, listing: Listing) {
+        let id = listing.engine.0 as usize;
+        let restarted = listing.ready_at.is_some()
+            && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
+        if restarted || !self.engines.contains_key(&id) {
+            let known = |name: &str| self.settings.number(&format!("Extra.{name}.{}", listing.machine));
+            let hash = listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
+                (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
+            });
+            let before = self.engines.remove(&id);
+            let (threads, memory_out, outs, sent) = before.map_or((0.0, 0.0, 0, VecDeque::new()), |old| {
+                (old.threads, old.memory_out, old.outs, old.sent)
+            });
+            let engine = Engine {
+                hash,
+                cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
+                memory_mb: known("RamOfKindMb").unwrap_or(0.0),
+                latency: vec![None; self.types.len()],
+                processor: None,
+                memory: None,
+                threads,
+                memory_out,
+                outs,
+                shunned_until: self.now,
+                backoff: Span::default(),
+                on_trial: false,
+                heard: self.now,
+                probe_out: false,
+                probed: Moment::default(),
+                sent,
+                holds: BTreeMap::new(),
+                listing,
+            };
+            self.engines.insert(id, engine);
+            self.gamma_steps = 0.0;
+        } else if let Some(engine) = self.engines.get_mut(&id) {
+            engine.listing = listing;
+        }
+    }
+
+    /// The part of its capacity that an engine has, as far as its start tells: it climbs from StartCapacity.
+    fn warmth(&self, engine: &Engine) -> f64 {
+        let Some(ready) = engine.listing.ready_at else {
+            return 1.0;
+        };
+        let (start, warm) = (self.contract("StartCapacity"), self.contract("WarmAfter").max(1.0));
+        (start + (1.0 - start) * (self.now - ready).ms().max(0.0) / warm).min(1.0)
+    }
+
+    // ---- rules: every send passes here ---------------------------------------------------------------------
+
+    fn may_send(&self, id: JobId, to: usize) -> bool {
+        let (held, engine) = (&self.jobs[&id], &self.engines[&to]);
+        let kind = &self.types[held.job.reservation];
+        let listing = &engine.listing;
+        let first = held.copies == 0;
+        // Rule 1, and no two dispatches of a job at once.
+        let open = !held.over && held.out.is_none() && self.now < held.ends - self.guard();
+        // Rule 2.
+        let once = match (kind.effect, held.may_have_run) {
+            (_, None) | (Effect::Restartable, _) => true,
+            (Effect::RunOnce, _) => false,
+            (Effect::Keyed, Some((ran_on, since))) => {
+                let there = &self.engines[&ran_on].listing;
+                let together = match kind.group.as_str() {
+                    "all" => true,
+                    "zone" => there.location == listing.location,
+                    _ => there.cell == listing.cell,
+                };
+                together && self.now + self.guard() < since + kind.window
+            }
+        };
+        // Rule 3: at once, well within the grace.
+        let running = listing.stage == Stage::Running;
+        // Rule 4.
+        let spare = self.cold_budget(engine) >= kind.usual_work();
+        // Rule 5.
+        let turn = held.job.key.filter(|_| kind.ordered).is_none_or(|key| {
+            self.turns[&key].front() == Some(&id) && self.rests.get(&key).is_none_or(|rest| *rest <= self.now)
+        });
+        // Rule 6.
+        let among =
+            |list: &Option<Vec<f64>>, x: usize| list.as_ref().is_none_or(|list| list.contains(&(x as f64)));
+        let placed = among(&kind.locations, listing.location) && among(&kind.machines, listing.machine);
+        // Rule 7 and the limit of dispatches for one job.
+        let tries =
+            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
+        open && once && running && spare && turn && placed && tries && (first || self.within_budget())
+    }
+
+    fn within_budget(&self) -> bool {
+        let Some(window) = self.settings.number("Contract.BudgetWindow") else {
+            return true;
+        };
+        let since = self.now - Span::from_ms(window);
+        let recent = || self.budget.iter().filter(|(when, _)| *when > since);
+        let extras = recent().filter(|(_, extra)| *extra).count() as f64;
+        let jobs = recent().filter(|(_, extra)| !*extra).count() as f64;
+        extras < self.contract("SpareAttempts") + self.contract("ExtraRatio") * jobs
+    }
+
+    /// Usual work that this gateway may still send to an engine within the window of the cold rule.
+    fn cold_budget(&self, engine: &Engine) -> f64 {
+        let warm = engine.listing.ready_at.is_none_or(|ready| self.now >= ready + self.span("WarmAfter"));
+        if warm || self.contract("FallMultiple") <= 0.0 {
+            return f64::INFINITY;
+        }
+        let window = self.span("OverloadFor");
+        let sent: f64 =
+            engine.sent.iter().filter(|(when, _)| *when > self.now - window).map(|(_, work)| work).sum();
+        let whole = self.contract("FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
+        COLD_CARE * whole / self.gateways - sent
+    }
+
+    /// The one place from which a dispatch goes out. `next` is handed its result.
+    fn send(&mut self, id: JobId, to: usize, choice: Option<Choice>, next: Next) -> bool {
+        if !self.may_send(id, to) {
+            return false;
+        }
+        let terms = self.terms(id);
+        let held = self.jobs.get_mut(&id).expect("a job that may be sent is held");
+        let kind = &self.types[held.job.reservation];
+        let engine = self.engines.get_mut(&to).expect("an engine that may be sent to is known");
+        if held.copies > 0 {
+            self.budget.push_back((self.now, true));
+        }
+        engine.threads += kind.threads;
+        engine.memory_out += held.memory;
+        engine.outs += 1;
+        engine.sent.push_back((self.now, kind.usual_work()));
+        let limit = held.ends - self.now;
+        let (copy, sent) = (held.copies, self.now);
+        held.out =
+            Some(Out { engine: to, copy, sent, choice, share: 0.0, noted: sent, recalled: false, next });
+        held.copies += 1;
+        held.last = Some(to);
+        if let Some(terms) = terms {
+            held.rank = terms.rank;
+        }
+        self.decided.dispatches.push(Dispatch { job: id, engine: EngineId(to as u32), limit, terms });
+        true
+    }
+
+    /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last.
+    fn terms(&self, id: JobId) -> Option<Terms> {
+        let (ranks, grants) =
+            (self.settings.flag("Extra.RanksHeeded"), self.settings.flag("Extra.GrantsCount"));
+        let held = &self.jobs[&id];
+        let kind = &self.types[held.job.reservation];
+        let rank = match () {
+            _ if self.now > held.sla_ends => 0,
+            _ if kind.threads <= 1.0 => 3,
+            _ if kind.holds => 2,
+            _ => 1,
+        };
+        (ranks || grants).then_some(Terms { rank, grant_mb: 0.0 })
+    }
+
+    /// Gives a job its final answer. It is throttled where trying again is harmless, else cancelled for good.
+    fn give_up(&mut self, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id).filter(|held| !held.over) else {
+            return;
+        };
+        let kind = &self.types[held.job.reservation];
+        let unrun = held.may_have_run.is_none() && held.out.is_none();
+        let harmless = match kind.effect {
+            Effect::Restartable => true,
+            Effect::Keyed => unrun || kind.group == "all",
+            Effect::RunOnce => unrun,
+        };
+        held.over = true;
+        let answer = if harmless { Answer::Throttled(Span::from_ms(1000.0)) } else { Answer::Cancelled };
+        self.decided.answers.push((id, answer));
+        self.recall(id);
+        self.release(id);
+    }
+
+    fn recall(&mut self, id: JobId) {
+        let allowed = self.settings.flag("Ceilings.Cancelling");
+        let out = self.jobs.get_mut(&id).and_then(|held| held.out.as_mut());
+        if let Some(out) = out.filter(|out| allowed && !out.recalled) {
+            out.recalled = true;
+            self.decided.recalls.push((id, out.copy));
+        }
+    }
+
+    /// Forgets a job that is over and has nothing out; the next job of its key may then have its turn.
+    fn release(&mut self, id: JobId) {
+        let Some(held) = self.jobs.get(&id).filter(|held| held.over && held.out.is_none()) else {
+            return;
+        };
+        if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
+            if let Some(unsure) = held.unsure_at {
+                self.rests.insert(key, unsure + self.span("OrderPause"));
+            }
+            if let Some(turn) = self.turns.get_mut(&key) {
+                turn.retain(|other| *other != id);
+            }
+        }
+        self.jobs.remove(&id);
+        self.waiting.retain(|other| *other != id);
+        self.decided.released.push(id);
+    }
+
+    // ---- the ordinary path: AQD ------------------------------------------------------------------------------
+
+    /// Sends a job to the engine that the mechanism chooses, or keeps it until one may take it.
+    fn place(&mut self, id: JobId) {
+        let after = |logic: &mut Logic, id: JobId, verdict: Verdict| logic.after_dispatch(id, verdict);
+        match self.choose(id) {
+            Some((engine, choice)) if self.send(id, engine, choice, Box::new(after)) => {
+                self.waiting.retain(|other| *other != id);
+            }
+            _ if !self.waiting.contains(&id) => self.waiting.push(id),
+            _ => {}
+        }
+    }
+
+    fn choose(&mut self, id: JobId) -> Option<(usize, Option<Choice>)> {
+        let held = &self.jobs[&id];
+        let (reservation, group) = (held.job.reservation, held.job.group);
+        let kind = &self.types[reservation];
+        let may: Vec<usize> = self.engines.keys().copied().filter(|&e| self.may_send(id, e)).collect();
+        // Engines under suspicion, and those where a load is known to hold this group, only if nothing else is.
+        let well = |e: &usize| {
+            let engine = &self.engines[e];
+            let trial = engine.on_trial && (engine.outs > 0 || kind.effect == Effect::RunOnce);
+            engine.shunned_until <= self.now && !trial && held.last != Some(*e)
+        };
+        let free = |e: &usize| {
+            let held = self.engines[e].holds.get(&group).is_some_and(|until| *until > self.now);
+            !(held && (kind.waits || kind.holds))
+        };
+        let mut among: Vec<usize> = may.iter().copied().filter(|e| well(e) && free(e)).collect();
+        if among.is_empty() {
+            among = may.iter().copied().filter(well).collect();
+        }
+        if among.is_empty() {
+            among = may;
+        }
+        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables.
+        among.sort_by_key(|e| (mix(self.engines[e].hash ^ mix(group)), *e));
+        if kind.holds {
+            among.reverse();
+        }
+        let busy =
+            |e: usize| self.engines[&e].threads / (self.engines[&e].cores * self.warmth(&self.engines[&e]));
+        let bound = 2.0 / self.gateways;
+        let mut pair: Vec<usize> = among.iter().copied().filter(|&e| busy(e) < bound).take(2).collect();
+        if pair.len() < 2 {
+            pair = among;
+            pair.sort_by(|&a, &b| busy(a).total_cmp(&busy(b)));
+            pair.truncate(2);
+        }
+        match pair[..] {
+            [first, second] => Some(self.weigh([first, second], id)),
+            [only] => Some((only, None)),
+            _ => None,
+        }
+    }
+
+    /// The fused test within a pair: the second engine wins if ω·z + (1−ω)·r > 0.
+    fn weigh(&mut self, pair: [usize; 2], id: JobId) -> (usize, Option<Choice>) {
+        let held = &self.jobs[&id];
+        let reservation = held.job.reservation;
+        let x = [1.0, (1.0 + held.cost).ln() / 10.0, (1.0 + held.memory).ln() / 10.0];
+        let s = self.speed(pair, reservation);
+        let theta = self.residual.draw(&mut self.chance);
+        let u: f64 = (0..3).map(|i| x[i] * theta[i]).sum();
+        let z = (s + u).tanh();
+        let r = self.balance(pair);
+        let rate = self.arrivals.per_second(self.now);
+        let omega = 0.4 + 0.3 * sigmoid(rate / self.fair_rate() - RATE_SHIFT);
+        let second = omega * z + (1.0 - omega) * r > 0.0;
+        (pair[usize::from(second)], Some(Choice { pair, x, s }))
+    }
+
+    /// λ0: the rate at which this gateway's equal part of the pool would be full with its usual jobs.
+    fn fair_rate(&self) -> f64 {
+        let cores: f64 = self.running().map(|(_, engine)| engine.cores).sum();
+        let work = self.offers.iter().map(|(_, work)| work).sum::<f64>() / self.offers.len().max(1) as f64;
+        (cores * 1000.0 / work.max(1.0) / self.gateways).max(1e-3)
+    }
+
+    fn running(&self) -> impl Iterator<Item = (usize, &Engine)> {
+        let runs = |engine: &&Engine| engine.listing.stage == Stage::Running;
+        self.engines.iter().map(|(id, engine)| (*id, engine)).filter(move |(_, engine)| runs(engine))
+    }
+
+    fn latency(&self, engine: usize, reservation: usize) -> f64 {
+        self.engines[&engine].latency[reservation].or(self.types[reservation].latency).unwrap_or(0.0)
+    }
+
+    /// s = log(1 + l1) − log(1 + l2).
+    fn speed(&self, pair: [usize; 2], reservation: usize) -> f64 {
+        let [first, second] = pair.map(|engine| (1.0 + self.latency(engine, reservation)).ln());
+        first - second
+    }
+
+    /// r = tanh(d), d the Mahalanobis length of the first engine's deviation from its target share.
+    fn balance(&mut self, pair: [usize; 2]) -> f64 {
+        let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
+        let own = |e: &Engine| e.threads / e.cores;
+        let reported = pair.map(|e| self.engines[&e].processor);
+        let processor = match reported {
+            [Some(a), Some(b)] => share([a, b]),
+            _ => share(pair.map(|e| own(&self.engines[&e]))),
+        };
+        let memory = match pair.map(|e| self.engines[&e].memory) {
+            [Some(a), Some(b)] => share([a, b]),
+            _ => share(pair.map(|e| self.engines[&e].memory_out / self.engines[&e].memory_mb.max(1.0))),
+        };
+        let e = [processor - self.gamma[0], memory - self.gamma[1]];
+        self.deviations.push_back(e);
+        if self.deviations.len() > DEVIATIONS {
+            self.deviations.pop_front();
+        }
+        let n = self.deviations.len() as f64;
+        let mean = [0, 1].map(|i| self.deviations.iter().map(|e| e[i]).sum::<f64>() / n);
+        let cov = |i: usize, j: usize| {
+            self.deviations.iter().map(|e| (e[i] - mean[i]) * (e[j] - mean[j])).sum::<f64>() / n
+        };
+        // A little on the diagonal keeps the covariance regular when deviations hardly vary.
+        let (a, b, d) = (cov(0, 0) + 1e-3, cov(0, 1), cov(1, 1) + 1e-3);
+        let squared = (d * e[0] * e[0] - 2.0 * b * e[0] * e[1] + a * e[1] * e[1]) / (a * d - b * b);
+        (e[0].signum() * squared.max(0.0).sqrt()).tanh()
+    }
+
+    /// γ steps by c/√t against the mean error since its last step.
+    fn step_gamma(&mut self) {
+        if self.now - self.gamma_at < GAMMA_EVERY || self.deviations.is_empty() {
+            return;
+        }
+        self.gamma_at = self.now;
+        self.gamma_steps += 1.0;
+        let n = self.deviations.len() as f64;
+        for i in 0..2 {
+            let error = self.deviations.iter().map(|e| e[i]).sum::<f64>() / n;
+            let step = GAMMA_STEP / self.gamma_steps.sqrt() * error;
+            self.gamma[i] = (self.gamma[i] - step).clamp(0.0, 1.0);
+        }
+    }
+
+    // ---- what comes back ---------------------------------------------------------------------------------------
+
+    fn read_report(&mut self, id: usize, report: &Report) {
+        let threads =
+            self.types.iter().map(|kind| kind.threads).sum::<f64>() / self.types.len().max(1) as f64;
+        let Some(engine) = self.engines.get_mut(&id) else {
+            return;
+        };
+        let told = |name: &str| report.iter().find(|(told, _)| told == name).map(|(_, value)| value.max(0.0));
+        let processor = told("load_share").or(told("concurrent").map(|jobs| jobs * threads / engine.cores));
+        engine.processor = processor.or(engine.processor);
+        engine.memory = told("x0").or(engine.memory);
+    }
+
+    fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
+        self.read_report(out.engine, &outcome.report);
+        let (now, held) = (self.now, &self.jobs[&id]);
+        let (reservation, memory) = (held.job.reservation, held.memory);
+        let taken = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
+        let kind = &mut self.types[reservation];
+        let Some(engine) = self.engines.get_mut(&out.engine) else {
+            return;
+        };
+        engine.threads = (engine.threads - kind.threads).max(0.0);
+        engine.memory_out = (engine.memory_out - memory).max(0.0);
+        engine.outs = engine.outs.saturating_sub(1);
+        match outcome.verdict {
+            Verdict::Done => {
+                (engine.heard, engine.on_trial, engine.backoff) = (now, false, Span::default());
+                self.strain.add(now, taken.min(2.0), kind.billed);
+                if let Some((work, _)) = outcome.bill {
+                    kind.true_cost.add(now, work.ms(), 1.0);
+                }
+                let took = outcome.took.ms();
+                let usual = *kind.latency.get_or_insert(took);
+                kind.latency = Some(usual + ALPHA * (took - usual));
+                let before = engine.latency[reservation].unwrap_or(usual);
+                engine.latency[reservation] = Some(before + ALPHA * (took - before));
+                if let Some(choice) =
+                    out.choice.filter(|c| c.pair.iter().all(|e| self.engines.contains_key(e)))
+                {
+                    let seen = |e: usize| {
+                        if e == out.engine { took } else { self.latency(e, reservation) }
+                    };
+                    let delta = (1.0 + seen(choice.pair[0])).ln() - (1.0 + seen(choice.pair[1])).ln();
+                    self.residual.learn(choice.x, delta - choice.s);
+                }
+            }
+            Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
+            Verdict::Full => engine.shunned_until = engine.shunned_until.max(now + BEAT),
+            _ => {}
+        }
+    }
+
+    /// Leaves an engine alone, twice as long at each new symptom, then on trial. Meets refused and reset
+    /// connections and silence, whatever their cause.
+    fn shun(&mut self, id: usize) {
+        let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.shunned_until <= self.now) else {
+            return;
+        };
+        engine.backoff = Span((engine.backoff.0 * 2).clamp(BEAT.0 * 2, BEAT.0 * 32));
+        engine.shunned_until = self.now + engine.backoff;
+        engine.on_trial = true;
+    }
+
+    /// What follows a dispatch that did not answer: another one where that is allowed and of use.
+    fn after_dispatch(&mut self, id: JobId, verdict: Verdict) {
+        let held = &self.jobs[&id];
+        if held.over {
+            return;
+        }
+        let kind = &self.types[held.job.reservation];
+        let tries =
+            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
+        let again = kind.effect != Effect::RunOnce || held.may_have_run.is_none();
+        let useful = self.now < held.sla_ends || kind.late_value > 0.0;
+        if verdict != Verdict::Void && tries && again && useful { self.place(id) } else { self.give_up(id) }
+    }
+
+    /// A recall of a restartable job that is stuck, where a fresh dispatch would still meet its SLA time and
+    /// this one would not. Meets bad plans, slow or silent engines and tables held by a load.
+    fn reconsider(&mut self, id: JobId) {
+        let held = &self.jobs[&id];
+        let kind = &self.types[held.job.reservation];
+        let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else {
+            return;
+        };
+        let tries =
+            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
+        if kind.effect != Effect::Restartable || !tries || self.running().count() < 2 {
+            return;
+        }
+        let age = (self.now - out.sent).ms();
+        let fresh = kind.latency.unwrap_or(0.0) * held.cost / kind.usual_work().max(1.0);
+        let remaining = if out.share > 0.0 { age / out.share - age } else { f64::INFINITY };
+        let time = (held.sla_ends - self.now).ms();
+        let silent = out.share == 0.0 && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
+        if !silent && fresh < time && remaining > time.max(2.0 * fresh) {
+            self.recall(id);
+        }
+    }
+
+    // ---- upkeep ----------------------------------------------------------------------------------------------
+
+    fn place_waiting(&mut self) {
+        for id in std::mem::take(&mut self.waiting) {
+            if self.jobs.get(&id).is_some_and(|held| !held.over) {
+                if self.now > self.jobs[&id].sla_ends { self.give_up(id) } else { self.place(id) }
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.after(BEAT, |logic| logic.beat());
+        let now = self.now;
+        let window = self.settings.number("Contract.BudgetWindow").map_or(Span::default(), Span::from_ms);
+        while self.budget.front().is_some_and(|(when, _)| *when <= now - window) {
+            self.budget.pop_front();
+        }
+        let cold = self.span("OverloadFor");
+        for engine in self.engines.values_mut() {
+            while engine.sent.front().is_some_and(|(when, _)| *when <= now - cold) {
+                engine.sent.pop_front();
+            }
+            engine.holds.retain(|_, until| *until > now);
+        }
+        self.step_gamma();
+        self.watch_outs();
+        self.follow_strain();
+        self.probe();
+        self.place_waiting();
+    }
+
+    /// Looks at every dispatch that is out: late ones fall in priority, overdue ones count as strain, and an
+    /// engine from which nothing is heard though notes are due is left alone.
+    fn watch_outs(&mut self) {
+        let now = self.now;
+        let due = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
+        let due = due.map(|every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            let held = &self.jobs[&id];
+            let Some(out) = held.out.as_ref().filter(|_| !held.over) else {
+                continue;
+            };
+            let (engine, noted, rank) = (out.engine, out.noted, held.rank);
+            let used = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
+            if used > 1.0 {
+                self.strain.add(now, used.min(2.0), self.types[held.job.reservation].billed * 0.1);
+            }
+            if let Some(terms) = self.terms(id).filter(|terms| terms.rank != rank) {
+                self.jobs.get_mut(&id).expect("held").rank = terms.rank;
+                self.decided.terms.push((id, terms));
+            }
+            let heard = self.engines.get(&engine).map_or(now, |engine| engine.heard);
+            if due.is_some_and(|due| now - noted > due && now - heard > due) {
+                self.shun(engine);
+                self.reconsider(id);
+            }
+        }
+    }
+
+    /// The part of offered work that is shed follows strain; the price is the value below which it lies.
+    fn follow_strain(&mut self) {
+        self.strain.touch(self.now);
+        let strain = self.strain.mean_or(0.0);
+        let dt = BEAT.ms() / 1000.0;
+        self.shed = (self.shed + SHED_GAIN * dt * (strain - STRAIN_AIM)).clamp(0.0, 0.9);
+        let mut offers: Vec<(f64, f64)> = self.offers.iter().copied().collect();
+        offers.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut left = self.shed * offers.iter().map(|(_, work)| work).sum::<f64>();
+        self.price = 0.0;
+        for (value, work) in offers {
+            left -= work;
+            if left < 0.0 {
+                break;
+            }
+            self.price = value;
+        }
+    }
+
+    fn probe(&mut self) {
+        if !self.settings.flag("Ceilings.Probes") {
+            return;
+        }
+        let pulls = self.settings.text("Report.How") == "pull";
+        let now = self.now;
+        for (id, engine) in self.engines.iter_mut() {
+            let wanted = pulls || (engine.on_trial && engine.outs == 0);
+            let due = !engine.probe_out && now - engine.probed >= PROBE_EVERY;
+            if engine.listing.stage == Stage::Running && wanted && due {
+                (engine.probe_out, engine.probed) = (true, now);
+                self.decided.probes.push(EngineId(*id as u32));
+            }
+        }
+    }
+}
