--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,7 +62,7 @@
 pub struct JobId(pub u32);
 
 /// An engine's number, given by the caller in the order in which lists named them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineId(pub u32);
 
 /// One value of the settings.
@@ -106,7 +106,7 @@
 }
 
 /// What an engine list says of one engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
     pub engine: EngineId,
     /// The engine's own id, the same for every gateway.
@@ -120,8 +120,9 @@
     pub capacity_hint: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
+    #[default]
     Running,
     Draining,
     Gone,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,10 @@
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const STRAIN_AIM: f64 = 0.5; // share of their SLA time that jobs should take
 const SHED_GAIN: f64 = 0.5; // how fast the shed share follows strain, a second
+const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
+const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
+const PACE_BAD: f64 = 2.3; // and shrinks from here on
+const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 /// A mean and a rate whose past fades; brought up to date when touched.
@@ -56,6 +60,7 @@
 }
 
 /// A permuted congruential generator (PCG-XSH-RR).
+#[derive(Default)]
 struct Chance(u64);
 
 impl Chance {
@@ -72,6 +77,7 @@
 }
 
 /// The linear posterior behind the Thompson draw: V = λI + Σ x·xᵀ and b = Σ x·(Δ − s).
+#[derive(Default)]
 struct Residual {
     v: [[f64; 3]; 3],
     b: [f64; 3],
@@ -103,14 +109,16 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Effect {
+    #[default]
     Restartable,
     Keyed,
     RunOnce,
 }
 
 /// A reservation type: what the settings say of it and what was learnt of its jobs.
+#[derive(Default)]
 struct Reservation {
     effect: Effect,
     group: String,
@@ -154,10 +162,7 @@
             ordered: flag("ByArrival"),
             locations: settings.numbers(&format!("Classes.{i}.ConfinedTo")),
             machines: settings.numbers(&format!("Classes.{i}.BoundTo")),
-            told_cost: Fading::default(),
-            true_cost: Fading::default(),
-            memory: Fading::default(),
-            latency: None,
+            ..Reservation::default()
         }
     }
     /// The usual work of one job, in milliseconds on one thread.
@@ -166,6 +171,7 @@
     }
 }
 
+#[derive(Default)]
 struct Engine {
     listing: Listing,
     hash: u64,
@@ -177,6 +183,10 @@
     threads: f64,
     memory_out: f64,
     outs: u32,
+    /// How many own threads it may hold before the order passes it by; follows its pace.
+    bound: f64,
+    /// Time that jobs took there over the time that their work alone would take.
+    pace: Fading,
     /// Left alone until then, for `backoff`; after that on trial, one job at a time, until it answers.
     shunned_until: Moment,
     backoff: Span,
@@ -210,6 +220,7 @@
     s: f64,
 }
 
+#[derive(Default)]
 struct Held {
     job: Job,
     taken: Moment,
@@ -227,6 +238,7 @@
     rank: u8,
 }
 
+#[derive(Default)]
 pub struct Logic {
     settings: Settings,
     now: Moment,
@@ -248,6 +260,9 @@
     gamma_at: Moment,
     arrivals: Fading,
     strain: Fading,
+    /// The pool is past its knee: jobs that find no engine under its bound are held.
+    tight: bool,
+    pace: Fading,
     shed: f64,
     price: f64,
     /// Billed value for a second of work, and that work, of the jobs taken last.
@@ -271,35 +286,18 @@
     pub fn new(now: Moment, seed: u64, settings: Settings) -> Logic {
         let types =
             (0..settings.entries("Classes", "Aim")).map(|i| Reservation::read(&settings, i)).collect();
+        let identity = [0, 1, 2].map(|i| [0, 1, 2].map(|j| if i == j { LAMBDA } else { 0.0 }));
         let mut logic = Logic {
             now,
             chance: Chance(mix(seed)),
             types,
-            engines: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            waiting: Vec::new(),
-            turns: BTreeMap::new(),
-            rests: BTreeMap::new(),
-            later: BTreeMap::new(),
-            laters: 0,
-            decided: Decided::default(),
             gateways: settings.number("Balancers").unwrap_or(1.0).max(1.0),
-            residual: Residual {
-                v: [0, 1, 2].map(|i| [0, 1, 2].map(|j| if i == j { LAMBDA } else { 0.0 })),
-                b: [0.0; 3],
-            },
-            deviations: VecDeque::new(),
+            residual: Residual { v: identity, b: [0.0; 3] },
             gamma: [0.5; 2],
-            gamma_steps: 0.0,
             gamma_at: now,
-            arrivals: Fading::default(),
-            strain: Fading::default(),
-            shed: 0.0,
-            price: 0.0,
-            offers: VecDeque::new(),
-            budget: VecDeque::new(),
             customers: vec![Fading::default(); settings.entries("Accounts", "QuotaRps")],
             settings,
+            ..Logic::default()
         };
         logic.decided.subscribe = logic.settings.text("MembershipMode") == "ask";
         logic.after(BEAT, |logic| logic.beat());
@@ -355,14 +353,8 @@
             sla_ends: now + sla,
             cost,
             memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
-            copies: 0,
-            out: None,
-            may_have_run: None,
-            unsure_at: None,
-            last: None,
-            over: false,
-            rank: 1,
             job,
+            ..Held::default()
         };
         let (guard, value) = (held.ends - self.guard(), self.value(&held));
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
@@ -417,6 +409,14 @@
             }
             if let Some(engine) = self.engines.get_mut(&out.engine) {
                 engine.heard = now;
+                if let Note::Share(share) = note
+                    && share > 0.02
+                {
+                    let bare = held.cost / self.types[held.job.reservation].threads;
+                    let pace = ((now - out.sent).ms() / share / bare.max(1.0)).min(PACE_CLIP);
+                    engine.pace.add(now, pace, bare * 0.25);
+                    self.pace.add(now, pace, bare * 0.25);
+                }
                 if note == Note::WaitsForLoad {
                     engine.holds.insert(group, now + Span::from_ms(1000.0));
                 }
@@ -533,20 +533,14 @@
                 cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
                 memory_mb: known("RamOfKindMb").unwrap_or(0.0),
                 latency: vec![None; self.types.len()],
-                processor: None,
-                memory: None,
                 threads,
                 memory_out,
                 outs,
-                shunned_until: self.now,
-                backoff: Span::default(),
-                on_trial: false,
+                bound: known("CpuOfKind").unwrap_or(listing.capacity_hint) * THREADS_A_CORE / self.gateways,
                 heard: self.now,
-                probe_out: false,
-                probed: Moment::default(),
                 sent,
-                holds: BTreeMap::new(),
                 listing,
+                ..Engine::default()
             };
             self.engines.insert(id, engine);
             self.gamma_steps = 0.0;
@@ -875,7 +869,7 @@
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
         self.read_report(out.engine, &outcome.report);
         let (now, held) = (self.now, &self.jobs[&id]);
-        let (reservation, memory) = (held.job.reservation, held.memory);
+        let (reservation, memory, cost) = (held.job.reservation, held.memory, held.cost);
         let taken = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
         let kind = &mut self.types[reservation];
         let Some(engine) = self.engines.get_mut(&out.engine) else {
@@ -892,6 +886,10 @@
                     kind.true_cost.add(now, work.ms(), 1.0);
                 }
                 let took = outcome.took.ms();
+                let bare = cost / kind.threads;
+                let pace = (took / bare.max(1.0)).min(PACE_CLIP);
+                engine.pace.add(now, pace, bare);
+                self.pace.add(now, pace, bare);
                 let usual = *kind.latency.get_or_insert(took);
                 kind.latency = Some(usual + ALPHA * (took - usual));
                 let before = engine.latency[reservation].unwrap_or(usual);
@@ -907,7 +905,10 @@
                 }
             }
             Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
-            Verdict::Full => engine.shunned_until = engine.shunned_until.max(now + BEAT),
+            Verdict::Full => {
+                engine.shunned_until = engine.shunned_until.max(now + BEAT);
+                engine.bound = engine.bound.min(engine.threads * 0.8).max(1.0);
+            }
             _ => {}
         }
     }
@@ -933,7 +934,7 @@
         let tries =
             self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
         let again = kind.effect != Effect::RunOnce || held.may_have_run.is_none();
-        let useful = self.now < held.sla_ends || kind.late_value > 0.0;
+        let useful = self.now + Span::from_ms(held.cost / kind.threads) < held.sla_ends;
         if verdict != Verdict::Void && tries && again && useful { self.place(id) } else { self.give_up(id) }
     }
 
@@ -952,20 +953,35 @@
         }
         let age = (self.now - out.sent).ms();
         let fresh = kind.latency.unwrap_or(0.0) * held.cost / kind.usual_work().max(1.0);
-        let remaining = if out.share > 0.0 { age / out.share - age } else { f64::INFINITY };
-        let time = (held.sla_ends - self.now).ms();
         let silent = out.share == 0.0 && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
-        if !silent && fresh < time && remaining > time.max(2.0 * fresh) {
+        let remaining = if out.share > 0.0 { age / out.share - age } else { f64::INFINITY };
+        let (time, end) = ((held.sla_ends - self.now).ms(), (held.ends - self.now).ms());
+        let rescued = fresh < time && remaining > time.max(2.0 * fresh);
+        let hopeless =
+            remaining > 1.5 * end.max(0.0) || (kind.late_value <= 0.0 && remaining > 1.5 * time.max(0.0));
+        if !silent && (rescued || hopeless) {
             self.recall(id);
         }
     }
 
     // ---- upkeep ----------------------------------------------------------------------------------------------
 
+    /// Held jobs go in the order of their billed value for their work; one that would come too late is given up.
     fn place_waiting(&mut self) {
-        for id in std::mem::take(&mut self.waiting) {
-            if self.jobs.get(&id).is_some_and(|held| !held.over) {
-                if self.now > self.jobs[&id].sla_ends { self.give_up(id) } else { self.place(id) }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|id| self.jobs.get(id).is_some_and(|held| !held.over));
+        let value =
+            |id: &JobId| self.types[self.jobs[id].job.reservation].billed / self.jobs[id].cost.max(1.0);
+        waiting.sort_by(|a, b| value(b).total_cmp(&value(a)));
+        for id in waiting {
+            let held = &self.jobs[&id];
+            let kind = &self.types[held.job.reservation];
+            let bare = Span::from_ms(held.cost / kind.threads);
+            if self.now + bare > held.sla_ends {
+                self.strain.add(self.now, 1.0, kind.billed);
+                self.give_up(id);
+            } else {
+                self.place(id);
             }
         }
     }
@@ -985,6 +1001,7 @@
             engine.holds.retain(|_, until| *until > now);
         }
         self.step_gamma();
+        self.step_bounds();
         self.watch_outs();
         self.follow_strain();
         self.probe();
@@ -1039,6 +1056,23 @@
         }
     }
 
+    /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when they
+    /// do not. Meets overload, slow machines and anything else that takes an engine past its knee.
+    fn step_bounds(&mut self) {
+        let now = self.now;
+        self.pace.touch(now);
+        self.tight = self.pace.mean_or(1.0) > PACE_GOOD;
+        for engine in self.engines.values_mut() {
+            engine.pace.touch(now);
+            let pace = engine.pace.mean_or(1.0);
+            if pace > PACE_BAD {
+                engine.bound = (engine.bound * 0.93).max(1.0);
+            } else if pace < PACE_GOOD && engine.threads > 0.7 * engine.bound {
+                engine.bound *= 1.05;
+            }
+        }
+    }
+
     fn probe(&mut self) {
         if !self.settings.flag("Ceilings.Probes") {
             return;
