--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,7 +28,10 @@
 const SHED_GAIN: f64 = 0.5; // how fast the shed share follows strain, a second
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
+const PACE_TIGHT: f64 = 1.3; // from here on jobs that find no engine under its bound are held
 const PACE_BAD: f64 = 2.3; // and shrinks from here on
+const BOUND_LEAST: f64 = 0.05; // of an engine, for one gateway
+const BOUND_MOST: f64 = 1.5;
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
@@ -183,8 +186,9 @@
     threads: f64,
     memory_out: f64,
     outs: u32,
-    /// How many own threads it may hold before the order passes it by; follows its pace.
+    /// Own load (see `load`) up to which the order takes it; follows its pace.
     bound: f64,
+    full_until: Moment,
     /// Time that jobs took there over the time that their work alone would take.
     pace: Fading,
     /// Left alone until then, for `backoff`; after that on trial, one job at a time, until it answers.
@@ -200,6 +204,15 @@
     holds: BTreeMap<u64, Moment>,
 }
 
+impl Engine {
+    /// Own load: threads against two a core or memory against all there is, whichever is more.
+    fn load(&self, threads: f64, memory: f64) -> f64 {
+        let threads = (self.threads + threads) / (self.cores * THREADS_A_CORE);
+        let memory = if self.memory_mb > 0.0 { (self.memory_out + memory) / self.memory_mb } else { 0.0 };
+        threads.max(memory)
+    }
+}
+
 /// A dispatch that is out.
 struct Out {
     engine: usize,
@@ -346,6 +359,7 @@
         }
         let bias = kind.usual_work() / kind.told_cost.mean_or(kind.usual_work()).max(1e-6);
         let cost = told.map_or(kind.usual_work(), |told| told * bias);
+        let kind_threads = kind.threads;
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let held = Held {
             taken: now,
@@ -366,7 +380,8 @@
             self.offers.pop_front();
         }
         self.at(guard, move |logic| logic.give_up(id));
-        if value < self.price {
+        let bare = Span::from_ms(cost / kind_threads);
+        if value < self.price || now + bare.times(0.7) > guard {
             self.give_up(id);
         } else {
             self.place(id);
@@ -536,7 +551,7 @@
                 threads,
                 memory_out,
                 outs,
-                bound: known("CpuOfKind").unwrap_or(listing.capacity_hint) * THREADS_A_CORE / self.gateways,
+                bound: 1.0 / self.gateways,
                 heard: self.now,
                 sent,
                 listing,
@@ -731,7 +746,8 @@
         let held = &self.jobs[&id];
         let (reservation, group) = (held.job.reservation, held.job.group);
         let kind = &self.types[reservation];
-        let may: Vec<usize> = self.engines.keys().copied().filter(|&e| self.may_send(id, e)).collect();
+        let may = |e: &usize| self.engines[e].full_until <= self.now && self.may_send(id, *e);
+        let may: Vec<usize> = self.engines.keys().copied().filter(may).collect();
         // Engines under suspicion, and those where a load is known to hold this group, only if nothing else is.
         let well = |e: &usize| {
             let engine = &self.engines[e];
@@ -906,8 +922,9 @@
             }
             Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
             Verdict::Full => {
-                engine.shunned_until = engine.shunned_until.max(now + BEAT);
-                engine.bound = engine.bound.min(engine.threads * 0.8).max(1.0);
+                engine.full_until = now + BEAT;
+                engine.bound = engine.bound.min(engine.load(0.0, 0.0) * 0.8).max(BOUND_LEAST);
+                self.pace.add(now, PACE_CLIP, cost / kind.threads);
             }
             _ => {}
         }
@@ -1022,6 +1039,12 @@
             };
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
             let used = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
+            let bare = held.cost / self.types[held.job.reservation].threads;
+            let pace = ((now - out.sent).ms() / bare.max(1.0)).min(PACE_CLIP);
+            if pace > PACE_BAD {
+                self.pace.add(now, pace, bare * 0.1);
+                self.engines.get_mut(&engine).map(|engine| engine.pace.add(now, pace, bare * 0.1));
+            }
             if used > 1.0 {
                 self.strain.add(now, used.min(2.0), self.types[held.job.reservation].billed * 0.1);
             }
@@ -1061,14 +1084,14 @@
     fn step_bounds(&mut self) {
         let now = self.now;
         self.pace.touch(now);
-        self.tight = self.pace.mean_or(1.0) > PACE_GOOD;
+        self.tight = self.pace.mean_or(1.0) > PACE_TIGHT;
         for engine in self.engines.values_mut() {
             engine.pace.touch(now);
             let pace = engine.pace.mean_or(1.0);
             if pace > PACE_BAD {
-                engine.bound = (engine.bound * 0.93).max(1.0);
-            } else if pace < PACE_GOOD && engine.threads > 0.7 * engine.bound {
-                engine.bound *= 1.05;
+                engine.bound = (engine.bound * 0.93).max(BOUND_LEAST);
+            } else if pace < PACE_GOOD && engine.load(0.0, 0.0) > 0.7 * engine.bound {
+                engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
             }
         }
     }
