--- a/src/logic.rs
+++ b/src/logic.rs
@@ -772,9 +772,19 @@
         }
         let busy =
             |e: usize| self.engines[&e].threads / (self.engines[&e].cores * self.warmth(&self.engines[&e]));
-        let bound = 2.0 / self.gateways;
-        let mut pair: Vec<usize> = among.iter().copied().filter(|&e| busy(e) < bound).take(2).collect();
-        if pair.len() < 2 {
+        // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
+        let total = |of: fn(&Engine) -> f64| self.running().map(|(_, engine)| of(engine)).sum::<f64>();
+        let room = total(|engine| engine.load(0.0, 0.0)) < total(|engine| engine.bound);
+        let under = |e: &usize| {
+            let engine = &self.engines[e];
+            let load = engine.load(kind.threads, held.memory);
+            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room)
+        };
+        let mut pair: Vec<usize> = among.iter().copied().filter(under).take(2).collect();
+        if pair.is_empty() && self.tight {
+            return None;
+        }
+        if pair.len() < 2 && !self.tight {
             pair = among;
             pair.sort_by(|&a, &b| busy(a).total_cmp(&busy(b)));
             pair.truncate(2);
