--- a/src/logic.rs
+++ b/src/logic.rs
@@ -140,6 +140,8 @@
     true_cost: Fading,
     memory: Fading,
     latency: Option<f64>,
+    pace: Fading,
+    calm: Option<f64>,
 }
 
 impl Reservation {
@@ -418,6 +420,7 @@
             && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
         {
             out.noted = now;
+            let (mut paced, to) = (None, out.engine);
             let group = held.job.group;
             if let Note::Share(share) = note {
                 out.share = share;
@@ -427,15 +430,15 @@
                 if let Note::Share(share) = note
                     && share > 0.02
                 {
-                    let bare = held.cost / self.types[held.job.reservation].threads;
-                    let pace = ((now - out.sent).ms() / share / bare.max(1.0)).min(PACE_CLIP);
-                    engine.pace.add(now, pace, bare * 0.25);
-                    self.pace.add(now, pace, bare * 0.25);
+                    paced = Some((now - out.sent).ms() / share);
                 }
                 if note == Note::WaitsForLoad {
                     engine.holds.insert(group, now + Span::from_ms(1000.0));
                 }
             }
+            if let Some(took) = paced {
+                self.see_pace(id, to, took, 0.25);
+            }
             self.reconsider(id);
         }
         self.finish()
@@ -912,10 +915,6 @@
                     kind.true_cost.add(now, work.ms(), 1.0);
                 }
                 let took = outcome.took.ms();
-                let bare = cost / kind.threads;
-                let pace = (took / bare.max(1.0)).min(PACE_CLIP);
-                engine.pace.add(now, pace, bare);
-                self.pace.add(now, pace, bare);
                 let usual = *kind.latency.get_or_insert(took);
                 kind.latency = Some(usual + ALPHA * (took - usual));
                 let before = engine.latency[reservation].unwrap_or(usual);
@@ -929,6 +928,7 @@
                     let delta = (1.0 + seen(choice.pair[0])).ln() - (1.0 + seen(choice.pair[1])).ln();
                     self.residual.learn(choice.x, delta - choice.s);
                 }
+                self.see_pace(id, out.engine, took, 1.0);
             }
             Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
             Verdict::Full => {
@@ -940,6 +940,22 @@
         }
     }
 
+    /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told costs
+    /// are wrong by type, and the lowest pace of late shows by how much.
+    fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64) {
+        let held = &self.jobs[&id];
+        let kind = &mut self.types[held.job.reservation];
+        let bare = (held.cost / kind.threads).max(1.0);
+        if weight >= 1.0 {
+            kind.pace.add(self.now, (took / bare).min(PACE_CLIP), bare);
+        }
+        let pace = (took / bare / kind.calm.unwrap_or(1.0)).min(PACE_CLIP);
+        self.pace.add(self.now, pace, bare * weight);
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.pace.add(self.now, pace, bare * weight);
+        }
+    }
+
     /// Leaves an engine alone, twice as long at each new symptom, then on trial. Meets refused and reset
     /// connections and silence, whatever their cause.
     fn shun(&mut self, id: usize) {
@@ -1049,12 +1065,11 @@
             };
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
             let used = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
-            let bare = held.cost / self.types[held.job.reservation].threads;
-            let pace = ((now - out.sent).ms() / bare.max(1.0)).min(PACE_CLIP);
-            if pace > PACE_BAD {
-                self.pace.add(now, pace, bare * 0.1);
-                self.engines.get_mut(&engine).map(|engine| engine.pace.add(now, pace, bare * 0.1));
+            let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
+            if age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.cost / kind.threads {
+                self.see_pace(id, engine, age, 0.1);
             }
+            let held = &self.jobs[&id];
             if used > 1.0 {
                 self.strain.add(now, used.min(2.0), self.types[held.job.reservation].billed * 0.1);
             }
@@ -1095,6 +1110,13 @@
         let now = self.now;
         self.pace.touch(now);
         self.tight = self.pace.mean_or(1.0) > PACE_TIGHT;
+        for kind in &mut self.types {
+            kind.pace.touch(now);
+            if kind.pace.weight > 8.0 * kind.usual_work() / kind.threads {
+                let pace = kind.pace.mean_or(1.0);
+                kind.calm = Some(kind.calm.map_or(pace, |calm| pace.min(calm * 1.001)).clamp(0.3, 2.0));
+            }
+        }
         for engine in self.engines.values_mut() {
             engine.pace.touch(now);
             let pace = engine.pace.mean_or(1.0);
