--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,9 +28,9 @@
 const SHED_GAIN: f64 = 0.5; // how fast the shed share follows strain, a second
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
-const PACE_TIGHT: f64 = 1.3; // from here on jobs that find no engine under its bound are held
+const PACE_TIGHT: f64 = 1.6; // from here on jobs that find no engine under its bound are held
 const PACE_BAD: f64 = 2.3; // and shrinks from here on
-const BOUND_LEAST: f64 = 0.05; // of an engine, for one gateway
+const BOUND_LEAST: f64 = 0.2; // of an equal share of an engine
 const BOUND_MOST: f64 = 1.5;
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
@@ -224,6 +224,7 @@
     share: f64,
     noted: Moment,
     recalled: bool,
+    waited: bool,
     next: Next,
 }
 
@@ -430,9 +431,10 @@
                 if let Note::Share(share) = note
                     && share > 0.02
                 {
-                    paced = Some((now - out.sent).ms() / share);
+                    paced = (!out.waited).then_some((now - out.sent).ms() / share);
                 }
                 if note == Note::WaitsForLoad {
+                    out.waited = true;
                     engine.holds.insert(group, now + Span::from_ms(1000.0));
                 }
             }
@@ -659,8 +661,17 @@
         engine.sent.push_back((self.now, kind.usual_work()));
         let limit = held.ends - self.now;
         let (copy, sent) = (held.copies, self.now);
-        held.out =
-            Some(Out { engine: to, copy, sent, choice, share: 0.0, noted: sent, recalled: false, next });
+        held.out = Some(Out {
+            engine: to,
+            copy,
+            sent,
+            choice,
+            share: 0.0,
+            noted: sent,
+            recalled: false,
+            waited: false,
+            next,
+        });
         held.copies += 1;
         held.last = Some(to);
         if let Some(terms) = terms {
@@ -928,12 +939,14 @@
                     let delta = (1.0 + seen(choice.pair[0])).ln() - (1.0 + seen(choice.pair[1])).ln();
                     self.residual.learn(choice.x, delta - choice.s);
                 }
-                self.see_pace(id, out.engine, took, 1.0);
+                if !out.waited {
+                    self.see_pace(id, out.engine, took, 1.0);
+                }
             }
             Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
             Verdict::Full => {
                 engine.full_until = now + BEAT;
-                engine.bound = engine.bound.min(engine.load(0.0, 0.0) * 0.8).max(BOUND_LEAST);
+                engine.bound = engine.bound.min(engine.load(0.0, 0.0) * 0.8).max(BOUND_LEAST / self.gateways);
                 self.pace.add(now, PACE_CLIP, cost / kind.threads);
             }
             _ => {}
@@ -1066,7 +1079,7 @@
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
             let used = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
             let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
-            if age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.cost / kind.threads {
+            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.cost / kind.threads {
                 self.see_pace(id, engine, age, 0.1);
             }
             let held = &self.jobs[&id];
@@ -1114,14 +1127,15 @@
             kind.pace.touch(now);
             if kind.pace.weight > 8.0 * kind.usual_work() / kind.threads {
                 let pace = kind.pace.mean_or(1.0);
-                kind.calm = Some(kind.calm.map_or(pace, |calm| pace.min(calm * 1.001)).clamp(0.3, 2.0));
+                let follow = |calm: f64| if pace < calm { calm + 0.05 * (pace - calm) } else { calm * 1.002 };
+                kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
             }
         }
         for engine in self.engines.values_mut() {
             engine.pace.touch(now);
             let pace = engine.pace.mean_or(1.0);
             if pace > PACE_BAD {
-                engine.bound = (engine.bound * 0.93).max(BOUND_LEAST);
+                engine.bound = (engine.bound * 0.93).max(BOUND_LEAST / self.gateways);
             } else if pace < PACE_GOOD && engine.load(0.0, 0.0) > 0.7 * engine.bound {
                 engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
             }
