--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod interface;
 pub mod logic;
+mod state;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,10 +7,9 @@
 //! decided so is told in `docs/design.md`.
 
 use crate::interface::*;
+use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// What a step of a job leaves behind: it is handed the step's result and says what comes next.
-type Next = Box<dyn FnOnce(&mut Logic, JobId, Verdict)>;
 /// What is to be done at some time.
 type Later = Box<dyn FnOnce(&mut Logic)>;
 
@@ -24,8 +23,6 @@
 const BEAT: Span = Span(250_000); // pace of all upkeep
 const PROBE_EVERY: Span = Span(500_000);
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
-const STRAIN_AIM: f64 = 0.5; // share of their SLA time that jobs should take
-const SHED_GAIN: f64 = 0.5; // how fast the shed share follows strain, a second
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
 const PACE_TIGHT: f64 = 1.6; // from here on jobs that find no engine under its bound are held
@@ -33,227 +30,9 @@
 const BOUND_LEAST: f64 = 0.2; // of an equal share of an engine
 const BOUND_MOST: f64 = 1.5;
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
+const BLOCKED_FOR: Span = Span(1_000_000); // how long a note that a load holds a table group is believed
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
-/// A mean and a rate whose past fades; brought up to date when touched.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    sum: f64,
-    weight: f64,
-    at: Moment,
-}
-
-impl Fading {
-    fn touch(&mut self, now: Moment) {
-        let keep = (-((now - self.at).ms() / RECENT.ms())).exp();
-        (self.sum, self.weight, self.at) = (self.sum * keep, self.weight * keep, now);
-    }
-    fn add(&mut self, now: Moment, x: f64, weight: f64) {
-        self.touch(now);
-        self.sum += x * weight;
-        self.weight += weight;
-    }
-    fn mean_or(&self, absent: f64) -> f64 {
-        if self.weight > 1e-9 { self.sum / self.weight } else { absent }
-    }
-    fn per_second(&mut self, now: Moment) -> f64 {
-        self.touch(now);
-        self.weight / (RECENT.ms() / 1000.0)
-    }
-}
-
-/// A permuted congruential generator (PCG-XSH-RR).
-#[derive(Default)]
-struct Chance(u64);
-
-impl Chance {
-    fn next(&mut self) -> f64 {
-        let old = self.0;
-        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let mixed = (((old >> 18) ^ old) >> 27) as u32;
-        f64::from(mixed.rotate_right((old >> 59) as u32)) / 4294967296.0
-    }
-    fn normal(&mut self) -> f64 {
-        let radius = (-2.0 * (1.0 - self.next()).ln()).sqrt();
-        radius * (std::f64::consts::TAU * self.next()).cos()
-    }
-}
-
-/// The linear posterior behind the Thompson draw: V = λI + Σ x·xᵀ and b = Σ x·(Δ − s).
-#[derive(Default)]
-struct Residual {
-    v: [[f64; 3]; 3],
-    b: [f64; 3],
-}
-
-impl Residual {
-    fn learn(&mut self, x: [f64; 3], target: f64) {
-        for i in 0..3 {
-            (0..3).for_each(|j| self.v[i][j] += x[i] * x[j]);
-            self.b[i] += x[i] * target;
-        }
-    }
-    /// θ̃ ~ N(V⁻¹b, σ²V⁻¹) by way of the Cholesky factor V = L·Lᵀ: θ̃ = L⁻ᵀ(L⁻¹b + σε).
-    fn draw(&self, chance: &mut Chance) -> [f64; 3] {
-        let mut l = [[0.0; 3]; 3];
-        let mut y = [0.0; 3];
-        for i in 0..3 {
-            for j in 0..=i {
-                let rest = self.v[i][j] - (0..j).map(|k| l[i][k] * l[j][k]).sum::<f64>();
-                l[i][j] = if i == j { rest.max(1e-12).sqrt() } else { rest / l[j][j] };
-            }
-            y[i] = (self.b[i] - (0..i).map(|k| l[i][k] * y[k]).sum::<f64>()) / l[i][i];
-        }
-        let mut theta = y.map(|mean| mean + SIGMA * chance.normal());
-        for i in (0..3).rev() {
-            theta[i] = (theta[i] - (i + 1..3).map(|k| l[k][i] * theta[k]).sum::<f64>()) / l[i][i];
-        }
-        theta
-    }
-}
-
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Effect {
-    #[default]
-    Restartable,
-    Keyed,
-    RunOnce,
-}
-
-/// A reservation type: what the settings say of it and what was learnt of its jobs.
-#[derive(Default)]
-struct Reservation {
-    effect: Effect,
-    group: String,
-    window: Span,
-    sla: Span,
-    stretch: f64,
-    late_value: f64,
-    billed: f64,
-    threads: f64,
-    holds: bool,
-    waits: bool,
-    ordered: bool,
-    locations: Option<Vec<f64>>,
-    machines: Option<Vec<f64>>,
-    told_cost: Fading,
-    true_cost: Fading,
-    memory: Fading,
-    latency: Option<f64>,
-    pace: Fading,
-    calm: Option<f64>,
-}
-
-impl Reservation {
-    fn read(settings: &Settings, i: usize) -> Reservation {
-        let number = |name: &str| settings.number(&format!("Classes.{i}.{name}")).unwrap_or(0.0);
-        let flag = |name: &str| settings.flag(&format!("Classes.{i}.{name}"));
-        let extra = |name: &str| format!("Extra.{name}.{i}");
-        Reservation {
-            effect: match settings.text(&format!("Classes.{i}.Semantics")) {
-                "read_like" => Effect::Restartable,
-                "idempotency_key" => Effect::Keyed,
-                _ => Effect::RunOnce,
-            },
-            group: settings.text(&format!("Classes.{i}.Group")).to_string(),
-            window: Span::from_ms(number("DedupWindow")),
-            sla: Span::from_ms(number("Aim")),
-            stretch: number("AimStretch"),
-            late_value: number("LateValue"),
-            billed: number("Worth"),
-            threads: settings.number(&extra("ClassThreads")).unwrap_or(1.0).max(1.0),
-            holds: settings.flag(&extra("IsLoad")),
-            waits: settings.flag(&extra("WaitsForLoads")),
-            ordered: flag("ByArrival"),
-            locations: settings.numbers(&format!("Classes.{i}.ConfinedTo")),
-            machines: settings.numbers(&format!("Classes.{i}.BoundTo")),
-            ..Reservation::default()
-        }
-    }
-    /// The usual work of one job, in milliseconds on one thread.
-    fn usual_work(&self) -> f64 {
-        self.true_cost.mean_or(self.told_cost.mean_or(self.sla.ms() * self.threads / 2.0))
-    }
-}
-
-#[derive(Default)]
-struct Engine {
-    listing: Listing,
-    hash: u64,
-    cores: f64,
-    memory_mb: f64,
-    latency: Vec<Option<f64>>,
-    processor: Option<f64>,
-    memory: Option<f64>,
-    threads: f64,
-    memory_out: f64,
-    outs: u32,
-    /// Own load (see `load`) up to which the order takes it; follows its pace.
-    bound: f64,
-    full_until: Moment,
-    /// Time that jobs took there over the time that their work alone would take.
-    pace: Fading,
-    /// Left alone until then, for `backoff`; after that on trial, one job at a time, until it answers.
-    shunned_until: Moment,
-    backoff: Span,
-    on_trial: bool,
-    heard: Moment,
-    probe_out: bool,
-    probed: Moment,
-    /// Usual work sent of late, for the cold budget.
-    sent: VecDeque<(Moment, f64)>,
-    /// Table groups known to be held by a load, and until when that is believed.
-    holds: BTreeMap<u64, Moment>,
-}
-
-impl Engine {
-    /// Own load: threads against two a core or memory against all there is, whichever is more.
-    fn load(&self, threads: f64, memory: f64) -> f64 {
-        let threads = (self.threads + threads) / (self.cores * THREADS_A_CORE);
-        let memory = if self.memory_mb > 0.0 { (self.memory_out + memory) / self.memory_mb } else { 0.0 };
-        threads.max(memory)
-    }
-}
-
-/// A dispatch that is out.
-struct Out {
-    engine: usize,
-    copy: u32,
-    sent: Moment,
-    choice: Option<Choice>,
-    share: f64,
-    noted: Moment,
-    recalled: bool,
-    waited: bool,
-    next: Next,
-}
-
-/// What the mechanism knew when it chose within a pair.
-#[derive(Clone, Copy)]
-struct Choice {
-    pair: [usize; 2],
-    x: [f64; 3],
-    s: f64,
-}
-
-#[derive(Default)]
-struct Held {
-    job: Job,
-    taken: Moment,
-    ends: Moment,
-    sla_ends: Moment,
-    cost: f64,
-    memory: f64,
-    copies: u32,
-    out: Option<Out>,
-    /// The first dispatch that may have run: its engine and when it was sent.
-    may_have_run: Option<(usize, Moment)>,
-    unsure_at: Option<Moment>,
-    last: Option<usize>,
-    over: bool,
-    rank: u8,
-}
-
 #[derive(Default)]
 pub struct Logic {
     settings: Settings,
@@ -275,27 +54,24 @@
     gamma_steps: f64,
     gamma_at: Moment,
     arrivals: Fading,
-    strain: Fading,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
     pace: Fading,
-    shed: f64,
-    price: f64,
-    /// Billed value for a second of work, and that work, of the jobs taken last.
-    offers: VecDeque<(f64, f64)>,
     /// When jobs were taken and when dispatches beyond a job's first were made, for the budget.
     budget: VecDeque<(Moment, bool)>,
     customers: Vec<Fading>,
 }
 
-fn sigmoid(x: f64) -> f64 {
-    1.0 / (1.0 + (-x).exp())
+/// The usual work of one job of a type, in milliseconds on one thread.
+fn usual_work(kind: &Reservation) -> f64 {
+    kind.true_cost.mean_or(kind.told_cost.mean_or(kind.sla.ms() * kind.threads / 2.0))
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
-    x ^ (x >> 31)
+/// Own load on an engine with so much more: threads against two a core or memory against all there is.
+fn load(engine: &Engine, threads: f64, memory: f64) -> f64 {
+    let threads = (engine.threads + threads) / (engine.cores * THREADS_A_CORE);
+    let memory = if engine.memory_mb > 0.0 { (engine.memory_out + memory) / engine.memory_mb } else { 0.0 };
+    threads.max(memory)
 }
 
 impl Logic {
@@ -350,41 +126,36 @@
 
     pub fn take(&mut self, now: Moment, id: JobId, job: Job) -> Decided {
         self.now = now;
-        self.arrivals.add(now, 0.0, 1.0);
         self.budget.push_back((now, false));
         let kind = &mut self.types[job.reservation];
         let told = job.cost.map(Span::ms);
         if let Some(told) = told {
-            kind.told_cost.add(now, told, 1.0);
+            kind.told_cost.add(now, RECENT, told, 1.0);
         }
         if let Some(memory) = job.memory_mb {
-            kind.memory.add(now, memory, 1.0);
+            kind.memory.add(now, RECENT, memory, 1.0);
         }
-        let bias = kind.usual_work() / kind.told_cost.mean_or(kind.usual_work()).max(1e-6);
-        let cost = told.map_or(kind.usual_work(), |told| told * bias);
-        let kind_threads = kind.threads;
+        let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
+        let cost = told.map_or(usual_work(kind), |told| told * bias);
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
-        let held = Held {
-            taken: now,
+        let mut held = Held {
             ends: now + job.left,
             sla_ends: now + sla,
             cost,
+            bare: cost / kind.threads,
             memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
             job,
             ..Held::default()
         };
-        let (guard, value) = (held.ends - self.guard(), self.value(&held));
+        held.value = self.value(&held);
+        self.arrivals.add(now, RECENT, cost, 1.0);
+        let (guard, bare) = (held.ends - self.guard(), Span::from_ms(held.bare));
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             self.turns.entry(key).or_default().push_back(id);
         }
         self.jobs.insert(id, held);
-        self.offers.push_back((value, cost));
-        if self.offers.len() > 256 {
-            self.offers.pop_front();
-        }
         self.at(guard, move |logic| logic.give_up(id));
-        let bare = Span::from_ms(cost / kind_threads);
-        if value < self.price || now + bare.times(0.7) > guard {
+        if now + bare.times(0.7) > guard {
             self.give_up(id);
         } else {
             self.place(id);
@@ -421,24 +192,19 @@
             && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
         {
             out.noted = now;
-            let (mut paced, to) = (None, out.engine);
-            let group = held.job.group;
+            out.waited |= note == Note::WaitsForLoad;
             if let Note::Share(share) = note {
                 out.share = share;
             }
-            if let Some(engine) = self.engines.get_mut(&out.engine) {
+            let (to, took, known) =
+                (out.engine, (now - out.sent).ms() / out.share, out.share > 0.02 && !out.waited);
+            if let Some(engine) = self.engines.get_mut(&to) {
                 engine.heard = now;
-                if let Note::Share(share) = note
-                    && share > 0.02
-                {
-                    paced = (!out.waited).then_some((now - out.sent).ms() / share);
-                }
                 if note == Note::WaitsForLoad {
-                    out.waited = true;
-                    engine.holds.insert(group, now + Span::from_ms(1000.0));
+                    engine.holds.insert(held.job.group, now + BLOCKED_FOR);
                 }
             }
-            if let Some(took) = paced {
+            if known {
                 self.see_pace(id, to, took, 0.25);
             }
             self.reconsider(id);
@@ -449,9 +215,8 @@
     /// A streamed answer has begun: from here on the job is the client's.
     pub fn answer_begun(&mut self, now: Moment, id: JobId, copy: u32) -> Decided {
         self.now = now;
-        if let Some(held) =
-            self.jobs.get_mut(&id).filter(|held| held.out.as_ref().is_some_and(|out| out.copy == copy))
-        {
+        let begun = |held: &&mut Held| held.out.as_ref().is_some_and(|out| out.copy == copy);
+        if let Some(held) = self.jobs.get_mut(&id).filter(begun) {
             held.over = true;
         }
         self.finish()
@@ -462,8 +227,9 @@
         self.now = now;
         if let Some(held) = self.jobs.get_mut(&id) {
             held.over = true;
-            self.release(id);
         }
+        self.recall(id);
+        self.release(id);
         self.finish()
     }
 
@@ -527,8 +293,8 @@
         let mut billed = self.types[held.job.reservation].billed;
         let quota = self.settings.number(&format!("Accounts.{}.QuotaRps", held.job.customer));
         if let (Some(own), Some(quota)) = (self.customers.get_mut(held.job.customer), quota) {
-            own.add(self.now, 0.0, 1.0);
-            if own.per_second(self.now) > quota / self.gateways {
+            own.add(self.now, RECENT, 0.0, 1.0);
+            if own.per_second(self.now, RECENT) > quota / self.gateways {
                 billed *= self.settings.number("OverShareWorth").unwrap_or(1.0);
             }
         }
@@ -544,10 +310,7 @@
             let hash = listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
                 (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
             });
-            let before = self.engines.remove(&id);
-            let (threads, memory_out, outs, sent) = before.map_or((0.0, 0.0, 0, VecDeque::new()), |old| {
-                (old.threads, old.memory_out, old.outs, old.sent)
-            });
+            let Engine { threads, memory_out, outs, sent, .. } = self.engines.remove(&id).unwrap_or_default();
             let engine = Engine {
                 hash,
                 cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
@@ -584,14 +347,11 @@
         let (held, engine) = (&self.jobs[&id], &self.engines[&to]);
         let kind = &self.types[held.job.reservation];
         let listing = &engine.listing;
-        let first = held.copies == 0;
         // Rule 1, and no two dispatches of a job at once.
         let open = !held.over && held.out.is_none() && self.now < held.ends - self.guard();
-        // Rule 2.
-        let once = match (kind.effect, held.may_have_run) {
-            (_, None) | (Effect::Restartable, _) => true,
-            (Effect::RunOnce, _) => false,
-            (Effect::Keyed, Some((ran_on, since))) => {
+        // Rule 2 for keyed jobs; for run-once ones `again` says no.
+        let once =
+            held.may_have_run.filter(|_| kind.effect == Effect::Keyed).is_none_or(|(ran_on, since)| {
                 let there = &self.engines[&ran_on].listing;
                 let together = match kind.group.as_str() {
                     "all" => true,
@@ -599,24 +359,28 @@
                     _ => there.cell == listing.cell,
                 };
                 together && self.now + self.guard() < since + kind.window
-            }
-        };
+            });
         // Rule 3: at once, well within the grace.
         let running = listing.stage == Stage::Running;
         // Rule 4.
-        let spare = self.cold_budget(engine) >= kind.usual_work();
+        let spare = self.cold_budget(engine) >= usual_work(kind);
         // Rule 5.
         let turn = held.job.key.filter(|_| kind.ordered).is_none_or(|key| {
             self.turns[&key].front() == Some(&id) && self.rests.get(&key).is_none_or(|rest| *rest <= self.now)
         });
         // Rule 6.
-        let among =
-            |list: &Option<Vec<f64>>, x: usize| list.as_ref().is_none_or(|list| list.contains(&(x as f64)));
+        let among = |list: &Option<Vec<f64>>, x| list.as_ref().is_none_or(|list| list.contains(&(x as f64)));
         let placed = among(&kind.locations, listing.location) && among(&kind.machines, listing.machine);
         // Rule 7 and the limit of dispatches for one job.
-        let tries =
-            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
-        open && once && running && spare && turn && placed && tries && (first || self.within_budget())
+        let budget = held.copies == 0 || self.within_budget();
+        open && once && running && spare && turn && placed && budget && self.again(held)
+    }
+
+    /// Whether a job may have one more dispatch, as far as its effect and their number go.
+    fn again(&self, held: &Held) -> bool {
+        let run_once = self.types[held.job.reservation].effect == Effect::RunOnce;
+        let most = self.settings.number("Ceilings.TryLimit").unwrap_or(f64::INFINITY);
+        f64::from(held.copies) < most && !(run_once && held.may_have_run.is_some())
     }
 
     fn within_budget(&self) -> bool {
@@ -637,8 +401,8 @@
             return f64::INFINITY;
         }
         let window = self.span("OverloadFor");
-        let sent: f64 =
-            engine.sent.iter().filter(|(when, _)| *when > self.now - window).map(|(_, work)| work).sum();
+        let recent = engine.sent.iter().filter(|(when, _)| *when > self.now - window);
+        let sent: f64 = recent.map(|(_, work)| work).sum();
         let whole = self.contract("FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
         COLD_CARE * whole / self.gateways - sent
     }
@@ -658,7 +422,7 @@
         engine.threads += kind.threads;
         engine.memory_out += held.memory;
         engine.outs += 1;
-        engine.sent.push_back((self.now, kind.usual_work()));
+        engine.sent.push_back((self.now, usual_work(kind)));
         let limit = held.ends - self.now;
         let (copy, sent) = (held.copies, self.now);
         held.out = Some(Out {
@@ -683,8 +447,7 @@
 
     /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last.
     fn terms(&self, id: JobId) -> Option<Terms> {
-        let (ranks, grants) =
-            (self.settings.flag("Extra.RanksHeeded"), self.settings.flag("Extra.GrantsCount"));
+        let heeded = self.settings.flag("Extra.RanksHeeded") || self.settings.flag("Extra.GrantsCount");
         let held = &self.jobs[&id];
         let kind = &self.types[held.job.reservation];
         let rank = match () {
@@ -693,7 +456,7 @@
             _ if kind.holds => 2,
             _ => 1,
         };
-        (ranks || grants).then_some(Terms { rank, grant_mb: 0.0 })
+        heeded.then_some(Terms { rank, grant_mb: 0.0 })
     }
 
     /// Gives a job its final answer. It is throttled where trying again is harmless, else cancelled for good.
@@ -733,9 +496,7 @@
             if let Some(unsure) = held.unsure_at {
                 self.rests.insert(key, unsure + self.span("OrderPause"));
             }
-            if let Some(turn) = self.turns.get_mut(&key) {
-                turn.retain(|other| *other != id);
-            }
+            self.turns.entry(key).or_default().retain(|other| *other != id);
         }
         self.jobs.remove(&id);
         self.waiting.retain(|other| *other != id);
@@ -784,14 +545,13 @@
         if kind.holds {
             among.reverse();
         }
-        let busy =
-            |e: usize| self.engines[&e].threads / (self.engines[&e].cores * self.warmth(&self.engines[&e]));
+        let busy = |e: &Engine| e.threads / (e.cores * self.warmth(e));
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running().map(|(_, engine)| of(engine)).sum::<f64>();
-        let room = total(|engine| engine.load(0.0, 0.0)) < total(|engine| engine.bound);
+        let room = total(|engine| load(engine, 0.0, 0.0)) < total(|engine| engine.bound);
         let under = |e: &usize| {
             let engine = &self.engines[e];
-            let load = engine.load(kind.threads, held.memory);
+            let load = load(engine, kind.threads, held.memory);
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room)
         };
         let mut pair: Vec<usize> = among.iter().copied().filter(under).take(2).collect();
@@ -800,7 +560,7 @@
         }
         if pair.len() < 2 && !self.tight {
             pair = among;
-            pair.sort_by(|&a, &b| busy(a).total_cmp(&busy(b)));
+            pair.sort_by(|a, b| busy(&self.engines[a]).total_cmp(&busy(&self.engines[b])));
             pair.truncate(2);
         }
         match pair[..] {
@@ -816,11 +576,11 @@
         let reservation = held.job.reservation;
         let x = [1.0, (1.0 + held.cost).ln() / 10.0, (1.0 + held.memory).ln() / 10.0];
         let s = self.speed(pair, reservation);
-        let theta = self.residual.draw(&mut self.chance);
+        let theta = self.residual.draw(SIGMA, &mut self.chance);
         let u: f64 = (0..3).map(|i| x[i] * theta[i]).sum();
         let z = (s + u).tanh();
         let r = self.balance(pair);
-        let rate = self.arrivals.per_second(self.now);
+        let rate = self.arrivals.per_second(self.now, RECENT);
         let omega = 0.4 + 0.3 * sigmoid(rate / self.fair_rate() - RATE_SHIFT);
         let second = omega * z + (1.0 - omega) * r > 0.0;
         (pair[usize::from(second)], Some(Choice { pair, x, s }))
@@ -829,8 +589,7 @@
     /// λ0: the rate at which this gateway's equal part of the pool would be full with its usual jobs.
     fn fair_rate(&self) -> f64 {
         let cores: f64 = self.running().map(|(_, engine)| engine.cores).sum();
-        let work = self.offers.iter().map(|(_, work)| work).sum::<f64>() / self.offers.len().max(1) as f64;
-        (cores * 1000.0 / work.max(1.0) / self.gateways).max(1e-3)
+        (cores * 1000.0 / self.arrivals.mean_or(1.0).max(1.0) / self.gateways).max(1e-3)
     }
 
     fn running(&self) -> impl Iterator<Item = (usize, &Engine)> {
@@ -851,15 +610,14 @@
     /// r = tanh(d), d the Mahalanobis length of the first engine's deviation from its target share.
     fn balance(&mut self, pair: [usize; 2]) -> f64 {
         let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
-        let own = |e: &Engine| e.threads / e.cores;
-        let reported = pair.map(|e| self.engines[&e].processor);
-        let processor = match reported {
+        let engines = pair.map(|e| &self.engines[&e]);
+        let processor = match engines.map(|e| e.processor) {
             [Some(a), Some(b)] => share([a, b]),
-            _ => share(pair.map(|e| own(&self.engines[&e]))),
+            _ => share(engines.map(|e| e.threads / e.cores)),
         };
-        let memory = match pair.map(|e| self.engines[&e].memory) {
+        let memory = match engines.map(|e| e.memory) {
             [Some(a), Some(b)] => share([a, b]),
-            _ => share(pair.map(|e| self.engines[&e].memory_out / self.engines[&e].memory_mb.max(1.0))),
+            _ => share(engines.map(|e| e.memory_out / e.memory_mb.max(1.0))),
         };
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
         self.deviations.push_back(e);
@@ -895,13 +653,11 @@
     // ---- what comes back ---------------------------------------------------------------------------------------
 
     fn read_report(&mut self, id: usize, report: &Report) {
-        let threads =
-            self.types.iter().map(|kind| kind.threads).sum::<f64>() / self.types.len().max(1) as f64;
         let Some(engine) = self.engines.get_mut(&id) else {
             return;
         };
         let told = |name: &str| report.iter().find(|(told, _)| told == name).map(|(_, value)| value.max(0.0));
-        let processor = told("load_share").or(told("concurrent").map(|jobs| jobs * threads / engine.cores));
+        let processor = told("load_share").or(told("concurrent").map(|jobs| jobs / engine.cores));
         engine.processor = processor.or(engine.processor);
         engine.memory = told("x0").or(engine.memory);
     }
@@ -909,8 +665,7 @@
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
         self.read_report(out.engine, &outcome.report);
         let (now, held) = (self.now, &self.jobs[&id]);
-        let (reservation, memory, cost) = (held.job.reservation, held.memory, held.cost);
-        let taken = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
+        let (reservation, memory, bare) = (held.job.reservation, held.memory, held.bare);
         let kind = &mut self.types[reservation];
         let Some(engine) = self.engines.get_mut(&out.engine) else {
             return;
@@ -921,23 +676,18 @@
         match outcome.verdict {
             Verdict::Done => {
                 (engine.heard, engine.on_trial, engine.backoff) = (now, false, Span::default());
-                self.strain.add(now, taken.min(2.0), kind.billed);
                 if let Some((work, _)) = outcome.bill {
-                    kind.true_cost.add(now, work.ms(), 1.0);
+                    kind.true_cost.add(now, RECENT, work.ms(), 1.0);
                 }
                 let took = outcome.took.ms();
                 let usual = *kind.latency.get_or_insert(took);
                 kind.latency = Some(usual + ALPHA * (took - usual));
                 let before = engine.latency[reservation].unwrap_or(usual);
                 engine.latency[reservation] = Some(before + ALPHA * (took - before));
-                if let Some(choice) =
-                    out.choice.filter(|c| c.pair.iter().all(|e| self.engines.contains_key(e)))
-                {
-                    let seen = |e: usize| {
-                        if e == out.engine { took } else { self.latency(e, reservation) }
-                    };
-                    let delta = (1.0 + seen(choice.pair[0])).ln() - (1.0 + seen(choice.pair[1])).ln();
-                    self.residual.learn(choice.x, delta - choice.s);
+                if let Some(Choice { pair, x, s }) = out.choice {
+                    let seen = |e| if e == out.engine { took } else { self.latency(e, reservation) };
+                    let delta = (1.0 + seen(pair[0])).ln() - (1.0 + seen(pair[1])).ln();
+                    self.residual.learn(x, delta - s);
                 }
                 if !out.waited {
                     self.see_pace(id, out.engine, took, 1.0);
@@ -946,8 +696,9 @@
             Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
             Verdict::Full => {
                 engine.full_until = now + BEAT;
-                engine.bound = engine.bound.min(engine.load(0.0, 0.0) * 0.8).max(BOUND_LEAST / self.gateways);
-                self.pace.add(now, PACE_CLIP, cost / kind.threads);
+                engine.bound =
+                    engine.bound.min(load(engine, 0.0, 0.0) * 0.8).max(BOUND_LEAST / self.gateways);
+                self.pace.add(now, RECENT, PACE_CLIP, bare);
             }
             _ => {}
         }
@@ -958,14 +709,14 @@
     fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64) {
         let held = &self.jobs[&id];
         let kind = &mut self.types[held.job.reservation];
-        let bare = (held.cost / kind.threads).max(1.0);
+        let bare = held.bare.max(1.0);
         if weight >= 1.0 {
-            kind.pace.add(self.now, (took / bare).min(PACE_CLIP), bare);
+            kind.pace.add(self.now, RECENT, (took / bare).min(PACE_CLIP), bare);
         }
         let pace = (took / bare / kind.calm.unwrap_or(1.0)).min(PACE_CLIP);
-        self.pace.add(self.now, pace, bare * weight);
+        self.pace.add(self.now, RECENT, pace, bare * weight);
         if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.pace.add(self.now, pace, bare * weight);
+            engine.pace.add(self.now, RECENT, pace, bare * weight);
         }
     }
 
@@ -986,12 +737,9 @@
         if held.over {
             return;
         }
-        let kind = &self.types[held.job.reservation];
-        let tries =
-            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
-        let again = kind.effect != Effect::RunOnce || held.may_have_run.is_none();
-        let useful = self.now + Span::from_ms(held.cost / kind.threads) < held.sla_ends;
-        if verdict != Verdict::Void && tries && again && useful { self.place(id) } else { self.give_up(id) }
+        let again = self.again(held);
+        let useful = self.now + Span::from_ms(held.bare) < held.sla_ends;
+        if verdict != Verdict::Void && again && useful { self.place(id) } else { self.give_up(id) }
     }
 
     /// A recall of a restartable job that is stuck, where a fresh dispatch would still meet its SLA time and
@@ -1002,19 +750,17 @@
         let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else {
             return;
         };
-        let tries =
-            self.settings.number("Ceilings.TryLimit").is_none_or(|most| f64::from(held.copies) < most);
-        if kind.effect != Effect::Restartable || !tries || self.running().count() < 2 {
+        if kind.effect != Effect::Restartable || !self.again(held) || self.running().count() < 2 {
             return;
         }
         let age = (self.now - out.sent).ms();
-        let fresh = kind.latency.unwrap_or(0.0) * held.cost / kind.usual_work().max(1.0);
+        let fresh = kind.latency.unwrap_or(0.0) * held.cost / usual_work(kind).max(1.0);
         let silent = out.share == 0.0 && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
         let remaining = if out.share > 0.0 { age / out.share - age } else { f64::INFINITY };
         let (time, end) = ((held.sla_ends - self.now).ms(), (held.ends - self.now).ms());
         let rescued = fresh < time && remaining > time.max(2.0 * fresh);
-        let hopeless =
-            remaining > 1.5 * end.max(0.0) || (kind.late_value <= 0.0 && remaining > 1.5 * time.max(0.0));
+        let last = if kind.late_value > 0.0 { end } else { time };
+        let hopeless = remaining > 1.5 * last.max(0.0);
         if !silent && (rescued || hopeless) {
             self.recall(id);
         }
@@ -1026,19 +772,11 @@
     fn place_waiting(&mut self) {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.jobs.get(id).is_some_and(|held| !held.over));
-        let value =
-            |id: &JobId| self.types[self.jobs[id].job.reservation].billed / self.jobs[id].cost.max(1.0);
-        waiting.sort_by(|a, b| value(b).total_cmp(&value(a)));
+        waiting.sort_by(|a, b| self.jobs[b].value.total_cmp(&self.jobs[a].value));
         for id in waiting {
             let held = &self.jobs[&id];
-            let kind = &self.types[held.job.reservation];
-            let bare = Span::from_ms(held.cost / kind.threads);
-            if self.now + bare > held.sla_ends {
-                self.strain.add(self.now, 1.0, kind.billed);
-                self.give_up(id);
-            } else {
-                self.place(id);
-            }
+            let late = self.now + Span::from_ms(held.bare) > held.sla_ends;
+            if late { self.give_up(id) } else { self.place(id) }
         }
     }
 
@@ -1059,7 +797,6 @@
         self.step_gamma();
         self.step_bounds();
         self.watch_outs();
-        self.follow_strain();
         self.probe();
         self.place_waiting();
     }
@@ -1077,15 +814,10 @@
                 continue;
             };
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
-            let used = (now - held.taken).ms() / (held.sla_ends - held.taken).ms().max(1.0);
             let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
-            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.cost / kind.threads {
+            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
                 self.see_pace(id, engine, age, 0.1);
             }
-            let held = &self.jobs[&id];
-            if used > 1.0 {
-                self.strain.add(now, used.min(2.0), self.types[held.job.reservation].billed * 0.1);
-            }
             if let Some(terms) = self.terms(id).filter(|terms| terms.rank != rank) {
                 self.jobs.get_mut(&id).expect("held").rank = terms.rank;
                 self.decided.terms.push((id, terms));
@@ -1098,45 +830,26 @@
         }
     }
 
-    /// The part of offered work that is shed follows strain; the price is the value below which it lies.
-    fn follow_strain(&mut self) {
-        self.strain.touch(self.now);
-        let strain = self.strain.mean_or(0.0);
-        let dt = BEAT.ms() / 1000.0;
-        self.shed = (self.shed + SHED_GAIN * dt * (strain - STRAIN_AIM)).clamp(0.0, 0.9);
-        let mut offers: Vec<(f64, f64)> = self.offers.iter().copied().collect();
-        offers.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut left = self.shed * offers.iter().map(|(_, work)| work).sum::<f64>();
-        self.price = 0.0;
-        for (value, work) in offers {
-            left -= work;
-            if left < 0.0 {
-                break;
-            }
-            self.price = value;
-        }
-    }
-
     /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when they
     /// do not. Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
         let now = self.now;
-        self.pace.touch(now);
+        self.pace.touch(now, RECENT);
         self.tight = self.pace.mean_or(1.0) > PACE_TIGHT;
         for kind in &mut self.types {
-            kind.pace.touch(now);
-            if kind.pace.weight > 8.0 * kind.usual_work() / kind.threads {
+            kind.pace.touch(now, RECENT);
+            if kind.pace.weight > 8.0 * usual_work(kind) / kind.threads {
                 let pace = kind.pace.mean_or(1.0);
                 let follow = |calm: f64| if pace < calm { calm + 0.05 * (pace - calm) } else { calm * 1.002 };
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
             }
         }
         for engine in self.engines.values_mut() {
-            engine.pace.touch(now);
+            engine.pace.touch(now, RECENT);
             let pace = engine.pace.mean_or(1.0);
             if pace > PACE_BAD {
                 engine.bound = (engine.bound * 0.93).max(BOUND_LEAST / self.gateways);
-            } else if pace < PACE_GOOD && engine.load(0.0, 0.0) > 0.7 * engine.bound {
+            } else if pace < PACE_GOOD && load(engine, 0.0, 0.0) > 0.7 * engine.bound {
                 engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
             }
         }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,227 @@
+//! What the decision module remembers: plain state and arithmetic. Nothing here decides, and every tuned value
+//! is handed in by `logic.rs`.
+
+use crate::interface::*;
+use crate::logic::Logic;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a step of a job leaves behind: it is handed the step's result and says what comes next.
+pub type Next = Box<dyn FnOnce(&mut Logic, JobId, Verdict)>;
+
+/// A mean and a rate whose past fades; brought up to date when touched.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    pub sum: f64,
+    pub weight: f64,
+    pub at: Moment,
+}
+
+impl Fading {
+    pub fn touch(&mut self, now: Moment, life: Span) {
+        let keep = (-((now - self.at).ms() / life.ms())).exp();
+        (self.sum, self.weight, self.at) = (self.sum * keep, self.weight * keep, now);
+    }
+    pub fn add(&mut self, now: Moment, life: Span, x: f64, weight: f64) {
+        self.touch(now, life);
+        self.sum += x * weight;
+        self.weight += weight;
+    }
+    pub fn mean_or(&self, absent: f64) -> f64 {
+        if self.weight > 1e-9 { self.sum / self.weight } else { absent }
+    }
+    pub fn per_second(&mut self, now: Moment, life: Span) -> f64 {
+        self.touch(now, life);
+        self.weight / (life.ms() / 1000.0)
+    }
+}
+
+/// A permuted congruential generator (PCG-XSH-RR).
+#[derive(Default)]
+pub struct Chance(pub u64);
+
+impl Chance {
+    pub fn next(&mut self) -> f64 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let mixed = (((old >> 18) ^ old) >> 27) as u32;
+        f64::from(mixed.rotate_right((old >> 59) as u32)) / 4294967296.0
+    }
+    pub fn normal(&mut self) -> f64 {
+        let radius = (-2.0 * (1.0 - self.next()).ln()).sqrt();
+        radius * (std::f64::consts::TAU * self.next()).cos()
+    }
+}
+
+/// The linear posterior behind the Thompson draw: V = λI + Σ x·xᵀ and b = Σ x·(Δ − s).
+#[derive(Default)]
+pub struct Residual {
+    pub v: [[f64; 3]; 3],
+    pub b: [f64; 3],
+}
+
+impl Residual {
+    pub fn learn(&mut self, x: [f64; 3], target: f64) {
+        for i in 0..3 {
+            (0..3).for_each(|j| self.v[i][j] += x[i] * x[j]);
+            self.b[i] += x[i] * target;
+        }
+    }
+    /// θ̃ ~ N(V⁻¹b, σ²V⁻¹) by way of the Cholesky factor V = L·Lᵀ: θ̃ = L⁻ᵀ(L⁻¹b + σε).
+    pub fn draw(&self, sigma: f64, chance: &mut Chance) -> [f64; 3] {
+        let mut l = [[0.0; 3]; 3];
+        let mut y = [0.0; 3];
+        for i in 0..3 {
+            for j in 0..=i {
+                let rest = self.v[i][j] - (0..j).map(|k| l[i][k] * l[j][k]).sum::<f64>();
+                l[i][j] = if i == j { rest.max(1e-12).sqrt() } else { rest / l[j][j] };
+            }
+            y[i] = (self.b[i] - (0..i).map(|k| l[i][k] * y[k]).sum::<f64>()) / l[i][i];
+        }
+        let mut theta = y.map(|mean| mean + sigma * chance.normal());
+        for i in (0..3).rev() {
+            theta[i] = (theta[i] - (i + 1..3).map(|k| l[k][i] * theta[k]).sum::<f64>()) / l[i][i];
+        }
+        theta
+    }
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+pub enum Effect {
+    #[default]
+    Restartable,
+    Keyed,
+    RunOnce,
+}
+
+/// A reservation type: what the settings say of it and what was learnt of its jobs.
+#[derive(Default)]
+pub struct Reservation {
+    pub effect: Effect,
+    pub group: String,
+    pub window: Span,
+    pub sla: Span,
+    pub stretch: f64,
+    pub late_value: f64,
+    pub billed: f64,
+    pub threads: f64,
+    pub holds: bool,
+    pub waits: bool,
+    pub ordered: bool,
+    pub locations: Option<Vec<f64>>,
+    pub machines: Option<Vec<f64>>,
+    pub told_cost: Fading,
+    pub true_cost: Fading,
+    pub memory: Fading,
+    pub latency: Option<f64>,
+    pub pace: Fading,
+    pub calm: Option<f64>,
+}
+
+impl Reservation {
+    pub fn read(settings: &Settings, i: usize) -> Reservation {
+        let number = |name: &str| settings.number(&format!("Classes.{i}.{name}")).unwrap_or(0.0);
+        let flag = |name: &str| settings.flag(&format!("Classes.{i}.{name}"));
+        let extra = |name: &str| format!("Extra.{name}.{i}");
+        Reservation {
+            effect: match settings.text(&format!("Classes.{i}.Semantics")) {
+                "read_like" => Effect::Restartable,
+                "idempotency_key" => Effect::Keyed,
+                _ => Effect::RunOnce,
+            },
+            group: settings.text(&format!("Classes.{i}.Group")).to_string(),
+            window: Span::from_ms(number("DedupWindow")),
+            sla: Span::from_ms(number("Aim")),
+            stretch: number("AimStretch"),
+            late_value: number("LateValue"),
+            billed: number("Worth"),
+            threads: settings.number(&extra("ClassThreads")).unwrap_or(1.0).max(1.0),
+            holds: settings.flag(&extra("IsLoad")),
+            waits: settings.flag(&extra("WaitsForLoads")),
+            ordered: flag("ByArrival"),
+            locations: settings.numbers(&format!("Classes.{i}.ConfinedTo")),
+            machines: settings.numbers(&format!("Classes.{i}.BoundTo")),
+            ..Reservation::default()
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Engine {
+    pub listing: Listing,
+    pub hash: u64,
+    pub cores: f64,
+    pub memory_mb: f64,
+    pub latency: Vec<Option<f64>>,
+    pub processor: Option<f64>,
+    pub memory: Option<f64>,
+    pub threads: f64,
+    pub memory_out: f64,
+    pub outs: u32,
+    /// Own load (see `load`) up to which the order takes it; follows its pace.
+    pub bound: f64,
+    pub full_until: Moment,
+    /// Time that jobs took there over the time that their work alone would take.
+    pub pace: Fading,
+    /// Left alone until then, for `backoff`; after that on trial, one job at a time, until it answers.
+    pub shunned_until: Moment,
+    pub backoff: Span,
+    pub on_trial: bool,
+    pub heard: Moment,
+    pub probe_out: bool,
+    pub probed: Moment,
+    /// Usual work sent of late, for the cold budget.
+    pub sent: VecDeque<(Moment, f64)>,
+    /// Table groups known to be held by a load, and until when that is believed.
+    pub holds: BTreeMap<u64, Moment>,
+}
+
+/// A dispatch that is out.
+pub struct Out {
+    pub engine: usize,
+    pub copy: u32,
+    pub sent: Moment,
+    pub choice: Option<Choice>,
+    pub share: f64,
+    pub noted: Moment,
+    pub recalled: bool,
+    pub waited: bool,
+    pub next: Next,
+}
+
+/// What the mechanism knew when it chose within a pair.
+#[derive(Clone, Copy)]
+pub struct Choice {
+    pub pair: [usize; 2],
+    pub x: [f64; 3],
+    pub s: f64,
+}
+
+#[derive(Default)]
+pub struct Held {
+    pub job: Job,
+    pub ends: Moment,
+    pub sla_ends: Moment,
+    /// Work in milliseconds on one thread, and the same spread over its threads.
+    pub cost: f64,
+    pub bare: f64,
+    pub value: f64,
+    pub memory: f64,
+    pub copies: u32,
+    pub out: Option<Out>,
+    /// The first dispatch that may have run: its engine and when it was sent.
+    pub may_have_run: Option<(usize, Moment)>,
+    pub unsure_at: Option<Moment>,
+    pub last: Option<usize>,
+    pub over: bool,
+    pub rank: u8,
+}
+
+pub fn sigmoid(x: f64) -> f64 {
+    1.0 / (1.0 + (-x).exp())
+}
+
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
+    x ^ (x >> 31)
+}
