--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,311 @@
+//! Traces of decisions, one test for the ordinary path and each rule or failure. Read them as a diary: time in
+//! milliseconds, what came in, and what was decided.
+
+mod helpers;
+use expect_test::{Expect, expect};
+use helpers::*;
+use pebblevane::interface::*;
+
+fn same(desk: Desk, trace: Expect) {
+    trace.assert_eq(&desk.trace);
+}
+
+#[test]
+fn jobs_of_a_table_group_keep_to_its_pair() {
+    let mut desk = Desk::new(&[], 6);
+    for round in 0..4 {
+        for group in [11, 12] {
+            let job = desk.take(LOOKUP, group, None);
+            desk.pass(50.0);
+            desk.settle(job, 0, Verdict::Done, 50.0 + f64::from(round));
+        }
+    }
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]: 
+                 0 take 0: send 0 to 5
+                50 Done 0.0: 
+                50 take 1: send 1 to 1
+               100 Done 1.0: 
+               100 take 2: send 2 to 1
+               150 Done 2.0: 
+               150 take 3: send 3 to 1
+               200 Done 3.0: 
+               200 take 4: send 4 to 1
+               250 Done 4.0: 
+               250 take 5: send 5 to 1
+               300 Done 5.0: 
+               300 take 6: send 6 to 5
+               350 Done 6.0: 
+               350 take 7: send 7 to 1
+               400 Done 7.0: 
+        "#]],
+    );
+}
+
+#[test]
+fn the_faster_engine_of_a_pair_is_learnt() {
+    let mut desk = Desk::new(&[], 2);
+    let mut counts = [0; 2];
+    for _ in 0..300 {
+        let job = desk.take(LOOKUP, 11, None);
+        let slow = desk.trace.ends_with("to 1\n");
+        counts[usize::from(slow)] += 1;
+        desk.pass(20.0);
+        desk.settle(job, 0, Verdict::Done, if slow { 900.0 } else { 100.0 });
+    }
+    expect!["[299, 1]"].assert_eq(&format!("{counts:?}"));
+}
+
+#[test]
+fn a_run_once_job_that_may_have_run_is_neither_sent_again_nor_throttled() {
+    let mut desk = Desk::new(&[], 4);
+    let broken = desk.take(POST, 11, None);
+    let refused = desk.take(POST, 12, None);
+    desk.pass(10.0);
+    desk.settle(broken, 0, Verdict::Broken, 10.0);
+    desk.settle(refused, 0, Verdict::Unreachable, 10.0);
+    desk.pass(5000.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running]: 
+                 0 take 0: send 0 to 3
+                 0 take 1: send 1 to 1
+                10 Broken 0.0: cancel 0
+                10 Unreachable 1.0: send 1 to 0
+              3990 : recall 1.1, cancel 1
+        "#]],
+    );
+}
+
+#[test]
+fn a_keyed_job_stays_within_its_group_and_window() {
+    let mut desk = Desk::new(&[], 6);
+    let job = desk.take(KEYED, 11, None);
+    desk.pass(10.0);
+    desk.settle(job, 0, Verdict::Broken, 10.0);
+    let late = desk.take(KEYED, 12, None);
+    desk.pass(2100.0);
+    desk.settle(late, 0, Verdict::TimedOut, 2100.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]: 
+                 0 take 0: send 0 to 5
+                10 Broken 0.0: send 0 to 1
+                10 take 1: send 1 to 0
+              2110 TimedOut 1.0: cancel 1
+        "#]],
+    );
+}
+
+#[test]
+fn nothing_goes_to_an_engine_that_drains_or_is_gone() {
+    let mut desk = Desk::new(&[], 3);
+    desk.list(false, vec![engine(0, Stage::Draining, None)]);
+    desk.list(true, vec![engine(1, Stage::Running, None)]);
+    for group in 0..4 {
+        desk.take(LOOKUP, group, None);
+    }
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running]: 
+                 0 list [0 Draining]: 
+                 0 list [1 Running]: 
+                 0 take 0: send 0 to 1
+                 0 take 1: send 1 to 1
+                 0 take 2: send 2 to 1
+                 0 take 3: send 3 to 1
+        "#]],
+    );
+}
+
+#[test]
+fn a_cold_engine_gets_this_gateways_share_and_no_more() {
+    let cold = [
+        ("Contract.FallMultiple", 2.0),
+        ("Contract.OverloadFor", 500.0),
+        ("Contract.StartCapacity", 0.3),
+        ("Contract.WarmAfter", 10000.0),
+    ];
+    let mut desk = Desk::new(&cold, 0);
+    desk.now = 1000.0;
+    desk.list(false, vec![engine(0, Stage::Running, Some(1000.0))]);
+    for _ in 0..12 {
+        desk.take(LOOKUP, 11, None);
+    }
+    desk.pass(600.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list []: 
+              1000 list [0 Running]: 
+              1000 take 0: send 0 to 0
+              1000 take 1: send 1 to 0
+              1000 take 2: send 2 to 0
+              1000 take 3: send 3 to 0
+              1000 take 4: send 4 to 0
+              1000 take 5: send 5 to 0
+              1000 take 6: send 6 to 0
+              1000 take 7: 
+              1000 take 8: 
+              1000 take 9: 
+              1000 take 10: 
+              1000 take 11: 
+        "#]],
+    );
+}
+
+#[test]
+fn jobs_of_one_key_go_one_by_one_with_a_rest_after_doubt() {
+    let mut desk = Desk::new(&[("Contract.OrderPause", 300.0)], 4);
+    let first = desk.take(ORDERED, 11, Some(5));
+    let second = desk.take(ORDERED, 11, Some(5));
+    desk.take(ORDERED, 11, Some(5));
+    desk.take(ORDERED, 11, Some(6));
+    desk.pass(50.0);
+    desk.settle(first, 0, Verdict::Done, 50.0);
+    desk.pass(300.0);
+    desk.settle(second, 0, Verdict::TimedOut, 300.0);
+    desk.pass(50.0);
+    desk.settle(second, 1, Verdict::Done, 50.0);
+    desk.pass(1000.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running]: 
+                 0 take 0: send 0 to 3
+                 0 take 1: 
+                 0 take 2: 
+                 0 take 3: send 3 to 1
+                50 Done 0.0: send 1 to 3
+               350 TimedOut 1.0: send 1 to 2
+               400 Done 1.1: 
+               750 : send 2 to 3
+        "#]],
+    );
+}
+
+#[test]
+fn a_bound_job_waits_or_ends_but_never_goes_elsewhere() {
+    let mut desk = Desk::new(&[], 4);
+    desk.list(false, vec![engine(1, Stage::Gone, None), engine(3, Stage::Draining, None)]);
+    desk.take(PLACED, 11, None);
+    desk.pass(2000.0);
+    desk.take(PLACED, 11, None);
+    desk.list(false, vec![engine(5, Stage::Running, None)]);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running]: 
+                 0 list [1 Gone, 3 Draining]: 
+                 0 take 0: 
+              1000 : throttle 0
+              2000 take 1: 
+              2000 list [5 Running]: send 1 to 5
+        "#]],
+    );
+}
+
+#[test]
+fn further_dispatches_keep_to_their_budget() {
+    let mut desk = Desk::new(
+        &[("Contract.BudgetWindow", 10000.0), ("Contract.SpareAttempts", 1.0), ("Contract.ExtraRatio", 0.25)],
+        6,
+    );
+    for group in 0..5 {
+        let job = desk.take(LOOKUP, group, None);
+        desk.settle(job, 0, Verdict::Error, 1.0);
+    }
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]: 
+                 0 take 0: send 0 to 0
+                 0 Error 0.0: send 0 to 2
+                 0 take 1: send 1 to 1
+                 0 Error 1.0: send 1 to 0
+                 0 take 2: send 2 to 1
+                 0 Error 2.0: 
+                 0 take 3: send 3 to 2
+                 0 Error 3.0: 
+                 0 take 4: send 4 to 3
+                 0 Error 4.0: send 4 to 5
+        "#]],
+    );
+}
+
+#[test]
+fn the_final_answer_comes_before_the_client_leaves_and_late_outcomes_change_nothing() {
+    let mut desk = Desk::new(&[], 2);
+    let read = desk.take(LOOKUP, 11, None);
+    let post = desk.take(POST, 12, None);
+    desk.pass(4000.0);
+    desk.settle(read, 0, Verdict::Withdrawn, 4000.0);
+    desk.settle(post, 0, Verdict::Done, 4000.0);
+    desk.settle(post, 0, Verdict::Done, 4000.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running]: 
+                 0 take 0: send 0 to 0
+                 0 take 1: send 1 to 1
+              3990 : recall 0.0, recall 1.0, throttle 0, cancel 1
+              4000 Withdrawn 0.0: 
+              4000 Done 1.0: 
+              4000 Done 1.0: 
+        "#]],
+    );
+}
+
+#[test]
+fn with_no_engine_jobs_wait_and_a_stale_list_is_mended() {
+    let mut desk = Desk::new(&[], 0);
+    desk.take(LOOKUP, 11, None);
+    desk.list(true, vec![engine(0, Stage::Running, None)]);
+    desk.settle(0, 0, Verdict::Unreachable, 250.0);
+    desk.pass(250.0);
+    desk.list(true, vec![engine(1, Stage::Running, None)]);
+    desk.list(true, vec![]);
+    desk.take(LOOKUP, 12, None);
+    desk.pass(1500.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list []: 
+                 0 take 0: 
+                 0 list [0 Running]: send 0 to 0
+                 0 Unreachable 0.0: send 0 to 0
+               250 list [1 Running]: 
+               250 list []: 
+               250 take 1: 
+              1250 : throttle 1
+        "#]],
+    );
+}
+
+#[test]
+fn a_bad_plan_is_recalled_and_run_anew() {
+    let mut desk = Desk::new(&[("Extra.Progress", 200.0)], 3);
+    let usual = desk.take(LOOKUP, 11, None);
+    desk.pass(100.0);
+    desk.settle(usual, 0, Verdict::Done, 100.0);
+    let stuck = desk.take(LOOKUP, 11, None);
+    desk.pass(200.0);
+    desk.note_on(stuck, 0, Note::Share(0.05));
+    desk.settle(stuck, 0, Verdict::Withdrawn, 200.0);
+    same(
+        desk,
+        expect![[r#"
+                 0 list [0 Running, 1 Running, 2 Running]: 
+                 0 take 0: send 0 to 2
+               100 Done 0.0: 
+               100 take 1: send 1 to 1
+               300 Share(0.05) 1.0: recall 1.0
+               300 Withdrawn 1.0: send 1 to 2
+        "#]],
+    );
+}
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,122 @@
+//! What the trace tests share: a small deployment and a printer of decisions.
+
+use pebblevane::interface::*;
+use pebblevane::logic::Logic;
+use std::fmt::Write;
+
+pub const LOOKUP: usize = 0;
+pub const POST: usize = 1;
+pub const KEYED: usize = 2;
+pub const ORDERED: usize = 3;
+pub const PLACED: usize = 4;
+
+pub struct Desk {
+    pub logic: Logic,
+    pub now: f64,
+    pub trace: String,
+    jobs: u32,
+}
+
+pub fn settings(more: &[(&str, f64)]) -> Settings {
+    let mut all = Settings::default();
+    let mut set = |name: String, value: Value| drop(all.0.insert(name, value));
+    for (i, effect) in
+        ["read_like", "non_idempotent", "idempotency_key", "read_like", "read_like"].iter().enumerate()
+    {
+        for (name, value) in [("Aim", 1000.0), ("Worth", 1.0), ("DedupWindow", 2000.0)] {
+            set(format!("Classes.{i}.{name}"), Value::Number(value));
+        }
+        set(format!("Classes.{i}.Semantics"), Value::Text(effect.to_string()));
+        set(format!("Classes.{i}.Group"), Value::Text("zone".to_string()));
+        set(format!("Classes.{i}.ByArrival"), Value::Flag(i == ORDERED));
+        set(format!("Extra.ClassThreads.{i}"), Value::Number(1.0));
+    }
+    set(format!("Classes.{PLACED}.ConfinedTo.0"), Value::Number(1.0));
+    set("Extra.CpuOfKind.0".to_string(), Value::Number(8.0));
+    set("Ceilings.Cancelling".to_string(), Value::Flag(true));
+    for (name, value) in [("Balancers", 2.0), ("Tick", 5.0), ("Ceilings.TryLimit", 4.0)].iter().chain(more) {
+        set(name.to_string(), Value::Number(*value));
+    }
+    all
+}
+
+pub fn engine(number: u32, stage: Stage, ready_at: Option<f64>) -> Listing {
+    Listing {
+        engine: EngineId(number),
+        name: format!("engine-{number}"),
+        location: number as usize % 2,
+        stage,
+        ready_at: ready_at.map(Moment::from_ms),
+        capacity_hint: 1.0,
+        ..Listing::default()
+    }
+}
+
+impl Desk {
+    pub fn new(more: &[(&str, f64)], engines: u32) -> Desk {
+        let logic = Logic::new(Moment::from_ms(0.0), 7, settings(more));
+        let mut desk = Desk { logic, now: 0.0, trace: String::new(), jobs: 0 };
+        desk.list(true, (0..engines).map(|i| engine(i, Stage::Running, None)).collect());
+        desk
+    }
+    fn note(&mut self, what: &str, decided: Decided) {
+        let mut parts: Vec<String> = Vec::new();
+        parts.extend(decided.recalls.iter().map(|(job, copy)| format!("recall {}.{copy}", job.0)));
+        parts.extend(decided.answers.iter().map(|(job, answer)| match answer {
+            Answer::Throttled(_) => format!("throttle {}", job.0),
+            Answer::Cancelled => format!("cancel {}", job.0),
+        }));
+        parts.extend(decided.dispatches.iter().map(|d| format!("send {} to {}", d.job.0, d.engine.0)));
+        parts.extend(decided.probes.iter().map(|engine| format!("probe {}", engine.0)));
+        if !what.is_empty() || !parts.is_empty() {
+            writeln!(self.trace, "{:6} {what}: {}", self.now, parts.join(", ")).unwrap();
+        }
+    }
+    fn moment(&self) -> Moment {
+        Moment::from_ms(self.now)
+    }
+    pub fn list(&mut self, complete: bool, listings: Vec<Listing>) {
+        let what: Vec<String> = listings.iter().map(|l| format!("{} {:?}", l.engine.0, l.stage)).collect();
+        let decided = self.logic.engines_changed(self.moment(), complete, listings);
+        self.note(&format!("list [{}]", what.join(", ")), decided);
+    }
+    pub fn take(&mut self, reservation: usize, group: u64, key: Option<u64>) -> u32 {
+        let id = self.jobs;
+        self.jobs += 1;
+        let job = Job {
+            reservation,
+            group,
+            key,
+            left: Span::from_ms(4000.0),
+            cost: Some(Span::from_ms(100.0)),
+            ..Job::default()
+        };
+        let decided = self.logic.take(self.moment(), JobId(id), job);
+        self.note(&format!("take {id}"), decided);
+        id
+    }
+    pub fn settle(&mut self, job: u32, copy: u32, verdict: Verdict, took: f64) {
+        let outcome = Outcome {
+            verdict,
+            took: Span::from_ms(took),
+            over: verdict == Verdict::Done,
+            bill: None,
+            report: Report::new(),
+        };
+        let decided = self.logic.settle(self.moment(), JobId(job), copy, outcome);
+        self.note(&format!("{verdict:?} {job}.{copy}"), decided);
+    }
+    pub fn note_on(&mut self, job: u32, copy: u32, note: Note) {
+        let decided = self.logic.progress(self.moment(), JobId(job), copy, note);
+        self.note(&format!("{note:?} {job}.{copy}"), decided);
+    }
+    /// Lets time pass, waking the module every five milliseconds as the clock would.
+    pub fn pass(&mut self, ms: f64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += 5.0;
+            let decided = self.logic.wake(self.moment());
+            self.note("", decided);
+        }
+    }
+}
