--- a/src/logic.rs
+++ b/src/logic.rs
@@ -529,9 +529,13 @@
             let trial = engine.on_trial && (engine.outs > 0 || kind.effect == Effect::RunOnce);
             engine.shunned_until <= self.now && !trial && held.last != Some(*e)
         };
+        // Where a load holds this group, by a note or as one of this gateway's own.
+        let own_load = |other: &Held| other.job.group == group && self.types[other.job.reservation].holds;
+        let loads = self.jobs.values().filter(|other| own_load(other)).filter_map(|other| other.out.as_ref());
+        let loads: Vec<usize> = loads.map(|out| out.engine).collect();
         let free = |e: &usize| {
-            let held = self.engines[e].holds.get(&group).is_some_and(|until| *until > self.now);
-            !(held && (kind.waits || kind.holds))
+            let noted = self.engines[e].holds.get(&group).is_some_and(|until| *until > self.now);
+            !((noted || loads.contains(e)) && (kind.waits || kind.holds))
         };
         let mut among: Vec<usize> = may.iter().copied().filter(|e| well(e) && free(e)).collect();
         if among.is_empty() {
