Calm pace looks back longer, a bound shrinks only where it is used

Cause: at small gateways noise shrank bounds that were not in use, and reports' calm pace came late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,7 @@
 const PACE_BAD: f64 = 2.3; // and shrinks from here on
 const BOUND_LEAST: f64 = 0.2; // of an equal share of an engine
 const BOUND_MOST: f64 = 1.5;
+const CALM_OVER: Span = Span(15_000_000); // how far back the calm pace of a type looks
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const BLOCKED_FOR: Span = Span(1_000_000); // how long a note that a load holds a table group is believed
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
@@ -715,9 +716,10 @@
         let kind = &mut self.types[held.job.reservation];
         let bare = held.bare.max(1.0);
         if weight >= 1.0 {
-            kind.pace.add(self.now, RECENT, (took / bare).min(PACE_CLIP), bare);
+            kind.pace.add(self.now, CALM_OVER, (took / bare).min(PACE_CLIP), bare);
         }
-        let pace = (took / bare / kind.calm.unwrap_or(1.0)).min(PACE_CLIP);
+        let Some(calm) = kind.calm else { return };
+        let pace = (took / bare / calm).min(PACE_CLIP);
         self.pace.add(self.now, RECENT, pace, bare * weight);
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.pace.add(self.now, RECENT, pace, bare * weight);
@@ -841,8 +843,8 @@
         self.pace.touch(now, RECENT);
         self.tight = self.pace.mean_or(1.0) > PACE_TIGHT;
         for kind in &mut self.types {
-            kind.pace.touch(now, RECENT);
-            if kind.pace.weight > 8.0 * usual_work(kind) / kind.threads {
+            kind.pace.touch(now, CALM_OVER);
+            if kind.pace.weight > 5.0 * usual_work(kind) / kind.threads {
                 let pace = kind.pace.mean_or(1.0);
                 let follow = |calm: f64| if pace < calm { calm + 0.05 * (pace - calm) } else { calm * 1.002 };
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
@@ -851,7 +853,8 @@
         for engine in self.engines.values_mut() {
             engine.pace.touch(now, RECENT);
             let pace = engine.pace.mean_or(1.0);
-            if pace > PACE_BAD {
+            let used = load(engine, 0.0, 0.0) > 0.5 * engine.bound;
+            if pace > PACE_BAD && used {
                 engine.bound = (engine.bound * 0.93).max(BOUND_LEAST / self.gateways);
             } else if pace < PACE_GOOD && load(engine, 0.0, 0.0) > 0.7 * engine.bound {
                 engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
