Memory grants follow what notes of spilling teach by type

It should hold against any wrong memory estimate; it could harm where memory, not knowledge, is short: then grants grow, up to four times the told need.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,10 @@
 const CALM_OVER: Span = Span(15_000_000); // how far back the calm pace of a type looks
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const BLOCKED_FOR: Span = Span(1_000_000); // how long a note that a load holds a table group is believed
+const GRANT_START: f64 = 1.25; // memory granted over memory told
+const GRANT_MOST: f64 = 4.0;
+const GRANT_UP: f64 = 0.2; // how far a spill moves it, and a job without a spill
+const GRANT_DOWN: f64 = 0.99;
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -77,8 +81,9 @@
 
 impl Logic {
     pub fn new(now: Moment, seed: u64, settings: Settings) -> Logic {
+        let types = 0..settings.entries("Classes", "Aim");
         let types =
-            (0..settings.entries("Classes", "Aim")).map(|i| Reservation::read(&settings, i)).collect();
+            types.map(|i| Reservation { grant: GRANT_START, ..Reservation::read(&settings, i) }).collect();
         let identity = [0, 1, 2].map(|i| [0, 1, 2].map(|j| if i == j { LAMBDA } else { 0.0 }));
         let mut logic = Logic {
             now,
@@ -194,6 +199,14 @@
         {
             out.noted = now;
             out.waited |= note == Note::WaitsForLoad;
+            if let Note::Spills(missing) = note
+                && held.memory > 0.0
+            {
+                out.spilled = true;
+                let grant = &mut self.types[held.job.reservation].grant;
+                let needed = ((out.memory + missing) / held.memory).min(GRANT_MOST);
+                *grant += GRANT_UP * (needed - *grant).max(0.0);
+            }
             if let Note::Share(share) = note {
                 out.share = share;
             }
@@ -421,7 +434,9 @@
             self.budget.push_back((self.now, true));
         }
         engine.threads += kind.threads;
-        engine.memory_out += held.memory;
+        let granted = terms.map_or(0.0, |terms| terms.grant_mb);
+        let memory = if granted > 0.0 { granted } else { held.memory };
+        engine.memory_out += memory;
         engine.outs += 1;
         engine.sent.push_back((self.now, usual_work(kind)));
         let limit = held.ends - self.now;
@@ -435,6 +450,8 @@
             noted: sent,
             recalled: false,
             waited: false,
+            spilled: false,
+            memory,
             next,
         });
         held.copies += 1;
@@ -446,7 +463,8 @@
         true
     }
 
-    /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last.
+    /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last. The
+    /// grant is the told need times what notes of spilling taught for the type, as told needs are wrong by type.
     fn terms(&self, id: JobId) -> Option<Terms> {
         let heeded = self.settings.flag("Extra.RanksHeeded") || self.settings.flag("Extra.GrantsCount");
         let held = &self.jobs[&id];
@@ -457,7 +475,9 @@
             _ if kind.holds => 2,
             _ => 1,
         };
-        heeded.then_some(Terms { rank, grant_mb: 0.0 })
+        let grants = self.settings.flag("Extra.GrantsCount");
+        let grant_mb = if grants { (held.memory * kind.grant).round() } else { 0.0 };
+        heeded.then_some(Terms { rank, grant_mb })
     }
 
     /// Gives a job its final answer. It is throttled where trying again is harmless, else cancelled for good.
@@ -670,13 +690,13 @@
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
         self.read_report(out.engine, &outcome.report);
         let (now, held) = (self.now, &self.jobs[&id]);
-        let (reservation, memory, bare) = (held.job.reservation, held.memory, held.bare);
+        let (reservation, bare) = (held.job.reservation, held.bare);
         let kind = &mut self.types[reservation];
         let Some(engine) = self.engines.get_mut(&out.engine) else {
             return;
         };
         engine.threads = (engine.threads - kind.threads).max(0.0);
-        engine.memory_out = (engine.memory_out - memory).max(0.0);
+        engine.memory_out = (engine.memory_out - out.memory).max(0.0);
         engine.outs = engine.outs.saturating_sub(1);
         match outcome.verdict {
             Verdict::Done => {
@@ -685,6 +705,9 @@
                     kind.true_cost.add(now, RECENT, work.ms(), 1.0);
                 }
                 let took = outcome.took.ms();
+                if !out.spilled {
+                    kind.grant = (kind.grant * GRANT_DOWN).max(1.0);
+                }
                 let usual = *kind.latency.get_or_insert(took);
                 kind.latency = Some(usual + ALPHA * (took - usual));
                 let before = engine.latency[reservation].unwrap_or(usual);
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,6 +115,8 @@
     pub latency: Option<f64>,
     pub pace: Fading,
     pub calm: Option<f64>,
+    /// Memory granted over memory told.
+    pub grant: f64,
 }
 
 impl Reservation {
@@ -185,6 +187,8 @@
     pub noted: Moment,
     pub recalled: bool,
     pub waited: bool,
+    pub spilled: bool,
+    pub memory: f64,
     pub next: Next,
 }
 
