--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,9 +27,11 @@
 const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
 const PACE_TIGHT: f64 = 1.6; // from here on jobs that find no engine under its bound are held
 const PACE_BAD: f64 = 2.3; // and shrinks from here on
-const BOUND_LEAST: f64 = 0.2; // of an equal share of an engine
+const BOUND_LEAST: f64 = 0.5; // of an equal share of an engine: one thread a core jams nothing
 const BOUND_MOST: f64 = 1.5;
 const CALM_OVER: Span = Span(15_000_000); // how far back the calm pace of a type looks
+const PACE_PRIOR: f64 = 500.0; // calm is presumed as firmly as this much bare work (ms) would show it
+const PACE_OVER: Span = Span(3_000_000); // how far back pace looks
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
 const BLOCKED_FOR: Span = Span(1_000_000); // how long a note that a load holds a table group is believed
 const GRANT_START: f64 = 1.25; // memory granted over memory told
@@ -75,7 +77,7 @@
 /// Own load on an engine with so much more: threads against two a core or memory against all there is.
 fn load(engine: &Engine, threads: f64, memory: f64) -> f64 {
     let threads = (engine.threads + threads) / (engine.cores * THREADS_A_CORE);
-    let memory = if engine.memory_mb > 0.0 { (engine.memory_out + memory) / engine.memory_mb } else { 0.0 };
+    let memory = (engine.memory_out + memory.min(engine.most_mb)) / engine.memory_mb.max(1.0);
     threads.max(memory)
 }
 
@@ -321,6 +323,7 @@
             && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
         if restarted || !self.engines.contains_key(&id) {
             let known = |name: &str| self.settings.number(&format!("Extra.{name}.{}", listing.machine));
+            let memory_mb = known("RamOfKindMb");
             let hash = listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
                 (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
             });
@@ -328,7 +331,8 @@
             let engine = Engine {
                 hash,
                 cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
-                memory_mb: known("RamOfKindMb").unwrap_or(0.0),
+                memory_mb: memory_mb.unwrap_or(f64::INFINITY),
+                most_mb: memory_mb.unwrap_or(0.0) * self.settings.number("Extra.MostGrant").unwrap_or(1.0),
                 latency: vec![None; self.types.len()],
                 threads,
                 memory_out,
@@ -435,7 +439,7 @@
         }
         engine.threads += kind.threads;
         let granted = terms.map_or(0.0, |terms| terms.grant_mb);
-        let memory = if granted > 0.0 { granted } else { held.memory };
+        let memory = if granted > 0.0 { granted } else { held.memory }.min(engine.most_mb);
         engine.memory_out += memory;
         engine.outs += 1;
         engine.sent.push_back((self.now, usual_work(kind)));
@@ -726,7 +730,7 @@
                 engine.full_until = now + BEAT;
                 engine.bound =
                     engine.bound.min(load(engine, 0.0, 0.0) * 0.8).max(BOUND_LEAST / self.gateways);
-                self.pace.add(now, RECENT, PACE_CLIP, bare);
+                self.pace.add(now, PACE_OVER, PACE_CLIP, bare);
             }
             _ => {}
         }
@@ -743,9 +747,9 @@
         }
         let Some(calm) = kind.calm else { return };
         let pace = (took / bare / calm).min(PACE_CLIP);
-        self.pace.add(self.now, RECENT, pace, bare * weight);
+        self.pace.add(self.now, PACE_OVER, pace, bare * weight);
         if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.pace.add(self.now, RECENT, pace, bare * weight);
+            engine.pace.add(self.now, PACE_OVER, pace, bare * weight);
         }
     }
 
@@ -863,8 +867,9 @@
     /// do not. Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
         let now = self.now;
-        self.pace.touch(now, RECENT);
-        self.tight = self.pace.mean_or(1.0) > PACE_TIGHT;
+        self.pace.touch(now, PACE_OVER);
+        let pool = self.pace.mean_with(1.0, PACE_PRIOR);
+        self.tight = pool > PACE_TIGHT;
         for kind in &mut self.types {
             kind.pace.touch(now, CALM_OVER);
             if kind.pace.weight > 5.0 * usual_work(kind) / kind.threads {
@@ -874,11 +879,12 @@
             }
         }
         for engine in self.engines.values_mut() {
-            engine.pace.touch(now, RECENT);
-            let pace = engine.pace.mean_or(1.0);
+            engine.pace.touch(now, PACE_OVER);
+            let pace = engine.pace.mean_with(1.0, PACE_PRIOR);
             let used = load(engine, 0.0, 0.0) > 0.5 * engine.bound;
+            let least = BOUND_LEAST / self.gateways * (pool / pace).min(1.0);
             if pace > PACE_BAD && used {
-                engine.bound = (engine.bound * 0.93).max(BOUND_LEAST / self.gateways);
+                engine.bound = (engine.bound * 0.93).max(least);
             } else if pace < PACE_GOOD && load(engine, 0.0, 0.0) > 0.7 * engine.bound {
                 engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,10 @@
         self.sum += x * weight;
         self.weight += weight;
     }
+    /// The mean, drawn towards `prior` as if that had been seen with `weight`.
+    pub fn mean_with(&self, prior: f64, weight: f64) -> f64 {
+        (self.sum + prior * weight) / (self.weight + weight)
+    }
     pub fn mean_or(&self, absent: f64) -> f64 {
         if self.weight > 1e-9 { self.sum / self.weight } else { absent }
     }
@@ -153,6 +157,8 @@
     pub hash: u64,
     pub cores: f64,
     pub memory_mb: f64,
+    /// The most that one job gets of it.
+    pub most_mb: f64,
     pub latency: Vec<Option<f64>>,
     pub processor: Option<f64>,
     pub memory: Option<f64>,
