Suspicion needs two broken connections in a row and ends at any sign of life

Cause: an engine that broke one connection in ten was left alone for seconds at a time, and an engine on trial with an old job out was never tried. Holds against any engine that answers now and then; costs one more failed dispatch at each crash.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -215,7 +215,7 @@
             let (to, took, known) =
                 (out.engine, (now - out.sent).ms() / out.share, out.share > 0.02 && !out.waited);
             if let Some(engine) = self.engines.get_mut(&to) {
-                engine.heard = now;
+                (engine.heard, engine.on_trial) = (now, false);
                 if note == Note::WaitsForLoad {
                     engine.holds.insert(held.job.group, now + BLOCKED_FOR);
                 }
@@ -255,10 +255,7 @@
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.probe_out = false;
             match verdict {
-                Verdict::Done => {
-                    engine.heard = now;
-                    engine.shunned_until = engine.shunned_until.min(now);
-                }
+                Verdict::Done => engine.shunned_until = engine.shunned_until.min(now),
                 Verdict::Unreachable => self.shun(id),
                 _ => {}
             }
@@ -548,11 +545,17 @@
         let kind = &self.types[reservation];
         let may = |e: &usize| self.engines[e].full_until <= self.now && self.may_send(id, *e);
         let may: Vec<usize> = self.engines.keys().copied().filter(may).collect();
-        // Engines under suspicion, and those where a load is known to hold this group, only if nothing else is.
+        // Never an engine under suspicion; the one just tried, one on trial for a run-once job, and one where a
+        // load is known to hold this group only if there is no other.
         let well = |e: &usize| {
             let engine = &self.engines[e];
-            let trial = engine.on_trial && (engine.outs > 0 || kind.effect == Effect::RunOnce);
-            engine.shunned_until <= self.now && !trial && held.last != Some(*e)
+            let since = |out: &Out| out.engine == *e && out.sent >= engine.shunned_until;
+            let tried = || self.jobs.values().any(|job| job.out.as_ref().is_some_and(since));
+            engine.shunned_until <= self.now && !(engine.on_trial && tried())
+        };
+        let best = |e: &usize| {
+            let risky = self.engines[e].on_trial && kind.effect == Effect::RunOnce;
+            !risky && held.last != Some(*e)
         };
         // Where a load holds this group, by a note or as one of this gateway's own.
         let own_load = |other: &Held| other.job.group == group && self.types[other.job.reservation].holds;
@@ -562,12 +565,13 @@
             let noted = self.engines[e].holds.get(&group).is_some_and(|until| *until > self.now);
             !((noted || loads.contains(e)) && (kind.waits || kind.holds))
         };
-        let mut among: Vec<usize> = may.iter().copied().filter(|e| well(e) && free(e)).collect();
+        let well: Vec<usize> = may.into_iter().filter(well).collect();
+        let mut among: Vec<usize> = well.iter().copied().filter(|e| best(e) && free(e)).collect();
         if among.is_empty() {
-            among = may.iter().copied().filter(well).collect();
+            among = well.iter().copied().filter(best).collect();
         }
         if among.is_empty() {
-            among = may;
+            among = well;
         }
         // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables.
         among.sort_by_key(|e| (mix(self.engines[e].hash ^ mix(group)), *e));
@@ -704,7 +708,7 @@
         engine.outs = engine.outs.saturating_sub(1);
         match outcome.verdict {
             Verdict::Done => {
-                (engine.heard, engine.on_trial, engine.backoff) = (now, false, Span::default());
+                (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
                 if let Some((work, _)) = outcome.bill {
                     kind.true_cost.add(now, RECENT, work.ms(), 1.0);
                 }
@@ -725,7 +729,13 @@
                     self.see_pace(id, out.engine, took, 1.0);
                 }
             }
-            Verdict::Unreachable | Verdict::Broken => self.shun(out.engine),
+            Verdict::Unreachable | Verdict::Broken => {
+                // One broken connection among many answers is no reason to lose an engine; two in a row are.
+                engine.strikes += 1;
+                if engine.strikes > 1 || engine.on_trial {
+                    self.shun(out.engine);
+                }
+            }
             Verdict::Full => {
                 engine.full_until = now + BEAT;
                 engine.bound =
@@ -753,13 +763,14 @@
         }
     }
 
-    /// Leaves an engine alone, twice as long at each new symptom, then on trial. Meets refused and reset
-    /// connections and silence, whatever their cause.
+    /// Leaves an engine alone, twice as long if it was left alone not long ago, then puts it on trial: one job at
+    /// a time until it answers or sends a note. Meets refused and reset connections, also on and off, and silence.
     fn shun(&mut self, id: usize) {
         let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.shunned_until <= self.now) else {
             return;
         };
-        engine.backoff = Span((engine.backoff.0 * 2).clamp(BEAT.0 * 2, BEAT.0 * 32));
+        let again = self.now - engine.shunned_until < engine.backoff.times(4.0);
+        engine.backoff = if again { Span((engine.backoff.0 * 2).min(BEAT.0 * 32)) } else { BEAT.times(2.0) };
         engine.shunned_until = self.now + engine.backoff;
         engine.on_trial = true;
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -174,6 +174,8 @@
     pub shunned_until: Moment,
     pub backoff: Span,
     pub on_trial: bool,
+    /// Refused and broken connections since the last answer.
+    pub strikes: u32,
     pub heard: Moment,
     pub probe_out: bool,
     pub probed: Moment,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -155,6 +155,7 @@
               1000 take 9: 
               1000 take 10: 
               1000 take 11: 
+              1505 : send 7 to 0, send 8 to 0, send 9 to 0, send 10 to 0, send 11 to 0
         "#]],
     );
 }
