--- a/src/logic.rs
+++ b/src/logic.rs
@@ -817,10 +817,22 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.jobs.get(id).is_some_and(|held| !held.over));
         waiting.sort_by(|a, b| self.jobs[b].value.total_cmp(&self.jobs[a].value));
+        // Where one job found no room, none of its type and tables that needs as much will: spares a long line's work.
+        let mut no_room: BTreeMap<(usize, u64), f64> = BTreeMap::new();
         for id in waiting {
             let held = &self.jobs[&id];
-            let late = self.now + Span::from_ms(held.bare) > held.sla_ends;
-            if late { self.give_up(id) } else { self.place(id) }
+            let (kind, memory) = ((held.job.reservation, held.job.group), held.memory);
+            let alike = held.copies == 0 && !self.types[kind.0].ordered;
+            if self.now + Span::from_ms(held.bare) > held.sla_ends {
+                self.give_up(id);
+            } else if alike && no_room.get(&kind).is_some_and(|least| memory >= *least) {
+                self.waiting.push(id);
+            } else {
+                self.place(id);
+                if alike && self.waiting.last() == Some(&id) {
+                    no_room.insert(kind, memory);
+                }
+            }
         }
     }
 
