--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,7 @@
 const GAMMA_STEP: f64 = 0.05; // c
 const RATE_SHIFT: f64 = 1.0; // b, as in the paper
 const BEAT: Span = Span(250_000); // pace of all upkeep
+const PLACE_EVERY: Span = Span(10_000); // pace of looking at held jobs while answers come back
 const PROBE_EVERY: Span = Span(500_000);
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
@@ -49,6 +50,7 @@
     engines: BTreeMap<usize, Engine>,
     jobs: BTreeMap<JobId, Held>,
     waiting: Vec<JobId>,
+    placing: bool,
     turns: BTreeMap<u64, VecDeque<JobId>>,
     rests: BTreeMap<u64, Moment>,
     later: BTreeMap<(Moment, u64), Later>,
@@ -190,7 +192,11 @@
         self.learn(id, &out, &outcome);
         (out.next)(self, id, outcome.verdict);
         self.release(id);
-        self.place_waiting();
+        // Held jobs are looked at soon after, once for all that came back by then.
+        if !self.waiting.is_empty() && !self.placing {
+            self.placing = true;
+            self.after(PLACE_EVERY, |logic| logic.place_waiting());
+        }
         self.finish()
     }
 
@@ -294,7 +300,7 @@
     }
 
     fn contract(&self, name: &str) -> f64 {
-        self.settings.number(&format!("Contract.{name}")).unwrap_or(0.0)
+        self.settings.number(name).unwrap_or(0.0)
     }
 
     fn span(&self, name: &str) -> Span {
@@ -352,7 +358,8 @@
         let Some(ready) = engine.listing.ready_at else {
             return 1.0;
         };
-        let (start, warm) = (self.contract("StartCapacity"), self.contract("WarmAfter").max(1.0));
+        let (start, warm) =
+            (self.contract("Contract.StartCapacity"), self.contract("Contract.WarmAfter").max(1.0));
         (start + (1.0 - start) * (self.now - ready).ms().max(0.0) / warm).min(1.0)
     }
 
@@ -406,19 +413,20 @@
         let recent = || self.budget.iter().filter(|(when, _)| *when > since);
         let extras = recent().filter(|(_, extra)| *extra).count() as f64;
         let jobs = recent().filter(|(_, extra)| !*extra).count() as f64;
-        extras < self.contract("SpareAttempts") + self.contract("ExtraRatio") * jobs
+        extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
     /// Usual work that this gateway may still send to an engine within the window of the cold rule.
     fn cold_budget(&self, engine: &Engine) -> f64 {
-        let warm = engine.listing.ready_at.is_none_or(|ready| self.now >= ready + self.span("WarmAfter"));
-        if warm || self.contract("FallMultiple") <= 0.0 {
+        let warm =
+            engine.listing.ready_at.is_none_or(|ready| self.now >= ready + self.span("Contract.WarmAfter"));
+        if warm || self.contract("Contract.FallMultiple") <= 0.0 {
             return f64::INFINITY;
         }
-        let window = self.span("OverloadFor");
+        let window = self.span("Contract.OverloadFor");
         let recent = engine.sent.iter().filter(|(when, _)| *when > self.now - window);
         let sent: f64 = recent.map(|(_, work)| work).sum();
-        let whole = self.contract("FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
+        let whole = self.contract("Contract.FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
         COLD_CARE * whole / self.gateways - sent
     }
 
@@ -516,9 +524,10 @@
         };
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             if let Some(unsure) = held.unsure_at {
-                self.rests.insert(key, unsure + self.span("OrderPause"));
+                self.rests.insert(key, unsure + self.span("Contract.OrderPause"));
             }
             self.turns.entry(key).or_default().retain(|other| *other != id);
+            self.at(self.rests.get(&key).copied().unwrap_or(self.now), |logic| logic.place_waiting());
         }
         self.jobs.remove(&id);
         self.waiting.retain(|other| *other != id);
@@ -814,6 +823,7 @@
 
     /// Held jobs go in the order of their billed value for their work; one that would come too late is given up.
     fn place_waiting(&mut self) {
+        self.placing = false;
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|id| self.jobs.get(id).is_some_and(|held| !held.over));
         waiting.sort_by(|a, b| self.jobs[b].value.total_cmp(&self.jobs[a].value));
@@ -843,7 +853,7 @@
         while self.budget.front().is_some_and(|(when, _)| *when <= now - window) {
             self.budget.pop_front();
         }
-        let cold = self.span("OverloadFor");
+        let cold = self.span("Contract.OverloadFor");
         for engine in self.engines.values_mut() {
             while engine.sent.front().is_some_and(|(when, _)| *when <= now - cold) {
                 engine.sent.pop_front();
