--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,9 +25,9 @@
 const PROBE_EVERY: Span = Span(500_000);
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
-const PACE_GOOD: f64 = 1.7; // the bound grows while jobs take at most this multiple of their bare work
-const PACE_TIGHT: f64 = 1.6; // from here on jobs that find no engine under its bound are held
-const PACE_BAD: f64 = 2.3; // and shrinks from here on
+const PACE_GOOD: f64 = 1.5; // the bound grows while jobs take at most this multiple of their bare work
+const PACE_TIGHT: f64 = 1.4; // from here on jobs that find no engine under its bound are held
+const PACE_BAD: f64 = 2.0; // and shrinks from here on
 const BOUND_LEAST: f64 = 0.5; // of an equal share of an engine: one thread a core jams nothing
 const BOUND_MOST: f64 = 1.0; // two threads a core or all the memory: more can do no good
 const CALM_OVER: Span = Span(15_000_000); // how far back the calm pace of a type looks
@@ -706,7 +706,8 @@
 
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
         self.read_report(out.engine, &outcome.report);
-        let (now, held) = (self.now, &self.jobs[&id]);
+        let now = self.now;
+        let Some(held) = self.jobs.get_mut(&id) else { return };
         let (reservation, bare) = (held.job.reservation, held.bare);
         let kind = &mut self.types[reservation];
         let Some(engine) = self.engines.get_mut(&out.engine) else {
@@ -720,6 +721,8 @@
                 (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
                 if let Some((work, _)) = outcome.bill {
                     kind.true_cost.add(now, RECENT, work.ms(), 1.0);
+                    kind.calm = Some(1.0);
+                    held.bare = work.ms() / kind.threads;
                 }
                 let took = outcome.took.ms();
                 if !out.spilled {
@@ -756,7 +759,7 @@
     }
 
     /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told costs
-    /// are wrong by type, and the lowest pace of late shows by how much.
+    /// are wrong by type, and the lowest pace of late shows by how much. Answers that bill the work make it exact.
     fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64) {
         let held = &self.jobs[&id];
         let kind = &mut self.types[held.job.reservation];
@@ -905,7 +908,7 @@
         self.tight = pool > PACE_TIGHT;
         for kind in &mut self.types {
             kind.pace.touch(now, CALM_OVER);
-            if kind.pace.weight > 5.0 * usual_work(kind) / kind.threads {
+            if kind.pace.weight > 5.0 * usual_work(kind) / kind.threads && kind.true_cost.weight == 0.0 {
                 let pace = kind.pace.mean_or(1.0);
                 let follow = |calm: f64| if pace < calm { calm + 0.05 * (pace - calm) } else { calm * 1.002 };
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
