A noted hold is believed as long as loads take; jobs behind one are recalled at its note

Cause: readers went back to a held engine a second later and waited for a second note before they were recalled. Holds against anything that blocks a table group; it could harm where holds are much shorter than loads usually are.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,6 @@
 const PACE_PRIOR: f64 = 500.0; // calm is presumed as firmly as this much bare work (ms) would show it
 const PACE_OVER: Span = Span(3_000_000); // how far back pace looks
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
-const BLOCKED_FOR: Span = Span(1_000_000); // how long a note that a load holds a table group is believed
 const GRANT_START: f64 = 1.25; // memory granted over memory told
 const GRANT_MOST: f64 = 4.0;
 const GRANT_UP: f64 = 0.2; // how far a spill moves it, and a job without a spill
@@ -202,6 +201,8 @@
 
     pub fn progress(&mut self, now: Moment, id: JobId, copy: u32, note: Note) -> Decided {
         self.now = now;
+        let loads = self.types.iter().filter(|kind| kind.holds);
+        let load_takes = loads.filter_map(|kind| kind.latency).fold(BEAT.ms(), f64::max);
         if let Some(held) = self.jobs.get_mut(&id)
             && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
         {
@@ -223,7 +224,7 @@
             if let Some(engine) = self.engines.get_mut(&to) {
                 (engine.heard, engine.on_trial) = (now, false);
                 if note == Note::WaitsForLoad {
-                    engine.holds.insert(held.job.group, now + BLOCKED_FOR);
+                    engine.holds.insert(held.job.group, now + Span::from_ms(load_takes));
                 }
             }
             if known {
@@ -811,8 +812,10 @@
         }
         let age = (self.now - out.sent).ms();
         let fresh = kind.latency.unwrap_or(0.0) * held.cost / usual_work(kind).max(1.0);
-        let silent = out.share == 0.0 && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
-        let remaining = if out.share > 0.0 { age / out.share - age } else { f64::INFINITY };
+        let silent = out.share == 0.0
+            && !out.waited
+            && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
+        let remaining = if out.share > 0.0 && !out.waited { age / out.share - age } else { f64::INFINITY };
         let (time, end) = ((held.sla_ends - self.now).ms(), (held.ends - self.now).ms());
         let rescued = fresh < time && remaining > time.max(2.0 * fresh);
         let last = if kind.late_value > 0.0 { end } else { time };
