Holding goes on until the line is empty, and starts where own load fills every engine

Cause: when the pace looked well for one beat, a line of two hundred jobs went out at once to engines that were just recovering. Holds against any flood after a hold; it could cost a little where a line drains slowly although the pool is well.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -603,6 +603,7 @@
         }
         if pair.len() < 2 && !self.tight {
             pair = among;
+            pair.retain(|e| load(&self.engines[e], 0.0, 0.0) < BOUND_MOST);
             pair.sort_by(|a, b| busy(&self.engines[a]).total_cmp(&busy(&self.engines[b])));
             pair.truncate(2);
         }
@@ -908,7 +909,7 @@
         let now = self.now;
         self.pace.touch(now, PACE_OVER);
         let pool = self.pace.mean_with(1.0, PACE_PRIOR);
-        self.tight = pool > PACE_TIGHT;
+        self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
         for kind in &mut self.types {
             kind.pace.touch(now, CALM_OVER);
             if kind.pace.weight > 5.0 * usual_work(kind) / kind.threads && kind.true_cost.weight == 0.0 {
