--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -311,3 +311,106 @@
         "#]],
     );
 }
+
+#[test]
+fn a_line_at_the_gateway_is_let_out_little_by_little() {
+    let mut desk = Desk::new(&[], 2);
+    (0..36).for_each(|group| assert_eq!(desk.take(LOOKUP, group, None), group as u32));
+    let mut sent = vec![desk.trace.matches("send").count()];
+    for job in 0..3 {
+        desk.settle(job, 0, Verdict::Done, 100.0);
+        desk.pass(20.0);
+        sent.push(desk.trace.matches("send").count());
+    }
+    desk.pass(2000.0);
+    let throttled = desk.trace.matches("throttle").count();
+    expect!["sent [32, 33, 34, 35], throttled 1"].assert_eq(&format!("sent {sent:?}, throttled {throttled}"));
+}
+
+#[test]
+fn one_broken_connection_is_no_suspicion_and_two_are() {
+    let mut desk = Desk::new(&[], 2);
+    for verdict in [Verdict::Broken, Verdict::Broken, Verdict::Done, Verdict::Done] {
+        let job = desk.take(LOOKUP, 11, None);
+        desk.settle(job, 0, verdict, 5.0);
+    }
+    desk.pass(600.0);
+    desk.take(LOOKUP, 11, None);
+    same(
+        desk,
+        expect![[r#"
+        0     list [0 Running, 1 Running]:
+        0     take 0: send 0 to 0
+        0     Broken 0.0: send 0 to 1
+        0     take 1: send 1 to 0
+        0     Broken 1.0: send 1 to 1
+        0     take 2: send 2 to 1
+        0     Done 2.0:
+        0     take 3: send 3 to 1
+        0     Done 3.0:
+        600   take 4: send 4 to 0
+    "#]],
+    );
+}
+
+#[test]
+fn grants_grow_where_jobs_spill() {
+    let mut desk = Desk::new(
+        &[("Extra.GrantsCount", 1.0), ("Extra.RamOfKindMb.0", 16000.0), ("Extra.Progress", 50.0)],
+        2,
+    );
+    for _ in 0..3 {
+        let job = desk.take(LOOKUP, 11, None);
+        desk.pass(50.0);
+        desk.note_on(job, 0, Note::Spills(200.0));
+        desk.settle(job, 0, Verdict::Done, 100.0);
+    }
+    same(
+        desk,
+        expect![[r#"
+            0     list [0 Running, 1 Running]:
+            0     take 0: send 0 to 0 with 250 MB
+            50    Spills(200.0) 0.0:
+            50    Done 0.0:
+            50    take 1: send 1 to 1 with 290 MB
+            100   Spills(200.0) 1.0:
+            100   Done 1.0:
+            100   take 2: send 2 to 1 with 330 MB
+            150   Spills(200.0) 2.0:
+            150   Done 2.0:
+        "#]],
+    );
+}
+
+#[test]
+fn readers_keep_off_engines_whose_tables_a_load_holds() {
+    let mut desk = Desk::new(&[], 3);
+    let first = desk.take(LOAD, 11, None);
+    for _ in 0..4 {
+        let job = desk.take(LOOKUP, 11, None);
+        desk.settle(job, 0, Verdict::Done, 100.0);
+    }
+    let other = desk.take(LOOKUP, 12, None);
+    desk.note_on(other, 0, Note::WaitsForLoad);
+    desk.take(LOOKUP, 12, None);
+    desk.settle(first, 0, Verdict::Done, 2000.0);
+    same(
+        desk,
+        expect![[r#"
+        0     list [0 Running, 1 Running, 2 Running]:
+        0     take 0: send 0 to 2
+        0     take 1: send 1 to 1
+        0     Done 1.0:
+        0     take 2: send 2 to 1
+        0     Done 2.0:
+        0     take 3: send 3 to 1
+        0     Done 3.0:
+        0     take 4: send 4 to 1
+        0     Done 4.0:
+        0     take 5: send 5 to 1
+        0     WaitsForLoad 5.0: recall 5.0
+        0     take 6: send 6 to 0
+        0     Done 0.0:
+    "#]],
+    );
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -9,6 +9,7 @@
 pub const KEYED: usize = 2;
 pub const ORDERED: usize = 3;
 pub const PLACED: usize = 4;
+pub const LOAD: usize = 5;
 
 pub struct Desk {
     pub logic: Logic,
@@ -21,7 +22,9 @@
     let mut all = Settings::default();
     let mut set = |name: String, value: Value| drop(all.0.insert(name, value));
     for (i, effect) in
-        ["read_like", "non_idempotent", "idempotency_key", "read_like", "read_like"].iter().enumerate()
+        ["read_like", "non_idempotent", "idempotency_key", "read_like", "read_like", "non_idempotent"]
+            .iter()
+            .enumerate()
     {
         for (name, value) in [("Aim", 1000.0), ("Worth", 1.0), ("DedupWindow", 2000.0)] {
             set(format!("Classes.{i}.{name}"), Value::Number(value));
@@ -30,12 +33,15 @@
         set(format!("Classes.{i}.Group"), Value::Text("zone".to_string()));
         set(format!("Classes.{i}.ByArrival"), Value::Flag(i == ORDERED));
         set(format!("Extra.ClassThreads.{i}"), Value::Number(1.0));
+        set(format!("Extra.IsLoad.{i}"), Value::Flag(i == LOAD));
+        set(format!("Extra.WaitsForLoads.{i}"), Value::Flag(i == LOOKUP));
     }
     set(format!("Classes.{PLACED}.ConfinedTo.0"), Value::Number(1.0));
     set("Extra.CpuOfKind.0".to_string(), Value::Number(8.0));
     set("Ceilings.Cancelling".to_string(), Value::Flag(true));
     for (name, value) in [("Balancers", 2.0), ("Tick", 5.0), ("Ceilings.TryLimit", 4.0)].iter().chain(more) {
-        set(name.to_string(), Value::Number(*value));
+        let flag = *name == "Extra.GrantsCount";
+        set(name.to_string(), if flag { Value::Flag(*value > 0.0) } else { Value::Number(*value) });
     }
     all
 }
@@ -66,7 +72,10 @@
             Answer::Throttled(_) => format!("throttle {}", job.0),
             Answer::Cancelled => format!("cancel {}", job.0),
         }));
-        parts.extend(decided.dispatches.iter().map(|d| format!("send {} to {}", d.job.0, d.engine.0)));
+        parts.extend(decided.dispatches.iter().map(|d| {
+            let granted = d.terms.map(|terms| format!(" with {} MB", terms.grant_mb)).unwrap_or_default();
+            format!("send {} to {}{granted}", d.job.0, d.engine.0)
+        }));
         parts.extend(decided.probes.iter().map(|engine| format!("probe {}", engine.0)));
         if !what.is_empty() || !parts.is_empty() {
             let line = format!("{:<5} {what}: {}", self.now, parts.join(", "));
@@ -90,6 +99,7 @@
             key,
             left: Span::from_ms(4000.0),
             cost: Some(Span::from_ms(100.0)),
+            memory_mb: Some(200.0),
             ..Job::default()
         };
         let decided = self.logic.take(self.moment(), JobId(id), job);
