Near engines first where crossing locations costs and the pool is well

Cause: half of the dispatches crossed halls at a price. It could harm where one location holds few engines and much traffic; the bound then passes jobs on, and past the knee it does not act.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -597,7 +597,14 @@
             let load = load(engine, kind.threads, held.memory);
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room)
         };
-        let mut pair: Vec<usize> = among.iter().copied().filter(under).take(2).collect();
+        // Where crossing locations costs, near engines come first while the pool is well.
+        let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
+        let zone = self.settings.number("Zone").unwrap_or(0.0);
+        let near = |e: &usize| costs && self.engines[e].listing.location as f64 == zone;
+        let mut pair: Vec<usize> = among.iter().copied().filter(|e| near(e) && under(e)).take(2).collect();
+        if pair.len() < 2 {
+            pair = among.iter().copied().filter(under).take(2).collect();
+        }
         if pair.is_empty() && self.tight {
             return None;
         }
