--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,9 @@
 const BEAT: Span = Span(250_000); // pace of all upkeep
 const PLACE_EVERY: Span = Span(10_000); // pace of looking at held jobs while answers come back
 const PROBE_EVERY: Span = Span(500_000);
+const PROBE_SELDOM: Span = Span(3_000_000);
+const PROBES_A_JOB: f64 = 0.25;
+const REPORT_FRESH: Span = Span(2_500_000); // older reports say nothing: the own figure stands in
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.5; // the bound grows while jobs take at most this multiple of their bare work
@@ -662,11 +665,12 @@
     fn balance(&mut self, pair: [usize; 2]) -> f64 {
         let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
         let engines = pair.map(|e| &self.engines[&e]);
-        let processor = match engines.map(|e| e.processor) {
+        let fresh = |e: &Engine| self.now - e.reported < REPORT_FRESH;
+        let processor = match engines.map(|e| e.processor.filter(|_| fresh(e))) {
             [Some(a), Some(b)] => share([a, b]),
             _ => share(engines.map(|e| e.threads / e.cores)),
         };
-        let memory = match engines.map(|e| e.memory) {
+        let memory = match engines.map(|e| e.memory.filter(|_| fresh(e))) {
             [Some(a), Some(b)] => share([a, b]),
             _ => share(engines.map(|e| e.memory_out / e.memory_mb.max(1.0))),
         };
@@ -704,12 +708,16 @@
     // ---- what comes back ---------------------------------------------------------------------------------------
 
     fn read_report(&mut self, id: usize, report: &Report) {
+        let now = self.now;
         let Some(engine) = self.engines.get_mut(&id) else {
             return;
         };
         let told = |name: &str| report.iter().find(|(told, _)| told == name).map(|(_, value)| value.max(0.0));
         let processor = told("load_share").or(told("concurrent").map(|jobs| jobs / engine.cores));
         engine.processor = processor.or(engine.processor);
+        if !report.is_empty() {
+            engine.reported = now;
+        }
         engine.memory = told("x0").or(engine.memory);
     }
 
@@ -943,10 +951,15 @@
             return;
         }
         let pulls = self.settings.text("Report.How") == "pull";
+        // Probes cost engines work: at most one for so many jobs taken.
+        let running = self.running().count() as f64;
+        let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
+        let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
         let now = self.now;
         for (id, engine) in self.engines.iter_mut() {
             let wanted = pulls || (engine.on_trial && engine.outs == 0);
-            let due = !engine.probe_out && now - engine.probed >= PROBE_EVERY;
+            let due =
+                !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
             if engine.listing.stage == Stage::Running && wanted && due {
                 (engine.probe_out, engine.probed) = (true, now);
                 self.decided.probes.push(EngineId(*id as u32));
--- a/src/state.rs
+++ b/src/state.rs
@@ -161,6 +161,7 @@
     pub most_mb: f64,
     pub latency: Vec<Option<f64>>,
     pub processor: Option<f64>,
+    pub reported: Moment,
     pub memory: Option<f64>,
     pub threads: f64,
     pub memory_out: f64,
