--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -16,6 +16,7 @@
 struct Instance {
     manager: String,
     logic: Logic,
+    reservations: usize,
     engines: Vec<String>,
     engine_numbers: HashMap<String, EngineId>,
     jobs: HashMap<u32, JobId>,
@@ -69,8 +70,10 @@
         match event.name {
             "Begin" => {
                 let conf = event.get("Conf").ok_or("Begin: field Conf is missing, an object is wanted")?;
-                let logic = Logic::new(now, event.whole_or_zero("Seed")?, settings(conf));
-                self.instances.insert(manager.to_string(), Instance::new(manager, logic));
+                let settings = settings(conf);
+                let reservations = settings.entries("Classes", "Aim");
+                let logic = Logic::new(now, event.whole_or_zero("Seed")?, settings);
+                self.instances.insert(manager.to_string(), Instance::new(manager, logic, reservations));
                 return Ok(());
             }
             "Shutdown" => {
@@ -91,10 +94,11 @@
 }
 
 impl Instance {
-    fn new(manager: &str, logic: Logic) -> Instance {
+    fn new(manager: &str, logic: Logic, reservations: usize) -> Instance {
         Instance {
             manager: manager.to_string(),
             logic,
+            reservations,
             engines: Vec::new(),
             engine_numbers: HashMap::new(),
             jobs: HashMap::new(),
@@ -119,6 +123,9 @@
             "Ingress" => {
                 let request = event.whole("RequestId")? as u32;
                 let taken = event.job()?;
+                if taken.reservation >= self.reservations {
+                    return Err(format!("Ingress: field Type names the unknown class {}", taken.reservation));
+                }
                 self.taken += 1;
                 self.jobs.insert(request, job);
                 self.requests.insert(job, request);
