Orders of table groups are kept until the list changes and walked until two engines qualify

Own loads and trials are now counted per engine, deviations are running sums, rules that do not depend on the engine are asked once a job.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,9 @@
 
 use crate::interface::*;
 use crate::state::*;
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 /// What is to be done at some time.
 type Later = Box<dyn FnOnce(&mut Logic)>;
@@ -50,9 +52,15 @@
     chance: Chance,
     types: Vec<Reservation>,
     engines: BTreeMap<usize, Engine>,
+    /// Each table group's order of the running engines, kept until the list changes; and these engines' cores.
+    orders: BTreeMap<u64, Rc<[usize]>>,
+    running: Vec<usize>,
+    cores: f64,
     jobs: BTreeMap<JobId, Held>,
     waiting: Vec<JobId>,
     placing: bool,
+    /// The last choice found no engine under its bound, whatever the job's tables.
+    no_room: bool,
     turns: BTreeMap<u64, VecDeque<JobId>>,
     rests: BTreeMap<u64, Moment>,
     later: BTreeMap<(Moment, u64), Later>,
@@ -61,6 +69,8 @@
     gateways: f64,
     residual: Residual,
     deviations: VecDeque<[f64; 2]>,
+    /// Sums of the deviations and of their products.
+    deviated: [f64; 5],
     gamma: [f64; 2],
     gamma_steps: f64,
     gamma_at: Moment,
@@ -122,6 +132,10 @@
                 engine.listing.stage = Stage::Gone;
             }
         }
+        let running = self.engines.iter().filter(|(_, engine)| engine.listing.stage == Stage::Running);
+        self.running = running.map(|(id, _)| *id).collect();
+        self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
+        self.orders.clear();
         self.place_waiting();
         self.finish()
     }
@@ -369,37 +383,43 @@
 
     // ---- rules: every send passes here ---------------------------------------------------------------------
 
-    fn may_send(&self, id: JobId, to: usize) -> bool {
+    /// The rules as far as they do not depend on the engine; `may_go_to` has the rest.
+    fn may_go(&self, id: JobId) -> bool {
+        let held = &self.jobs[&id];
+        // Rule 1, and no two dispatches of a job at once.
+        let open = !held.over && held.out.is_none() && self.now < held.ends - self.guard();
+        // Rule 5.
+        let ordered = held.job.key.filter(|_| self.types[held.job.reservation].ordered);
+        let turn = ordered.is_none_or(|key| {
+            self.turns[&key].front() == Some(&id) && self.rests.get(&key).is_none_or(|rest| *rest <= self.now)
+        });
+        // Rule 7 and the limit of dispatches for one job.
+        open && turn && (held.copies == 0 || self.within_budget()) && self.again(held)
+    }
+
+    fn may_go_to(&self, id: JobId, to: usize) -> bool {
         let (held, engine) = (&self.jobs[&id], &self.engines[&to]);
         let kind = &self.types[held.job.reservation];
         let listing = &engine.listing;
-        // Rule 1, and no two dispatches of a job at once.
-        let open = !held.over && held.out.is_none() && self.now < held.ends - self.guard();
         // Rule 2 for keyed jobs; for run-once ones `again` says no.
-        let once =
-            held.may_have_run.filter(|_| kind.effect == Effect::Keyed).is_none_or(|(ran_on, since)| {
-                let there = &self.engines[&ran_on].listing;
-                let together = match kind.group.as_str() {
-                    "all" => true,
-                    "zone" => there.location == listing.location,
-                    _ => there.cell == listing.cell,
-                };
-                together && self.now + self.guard() < since + kind.window
-            });
+        let keyed = held.may_have_run.filter(|_| kind.effect == Effect::Keyed);
+        let once = keyed.is_none_or(|(ran_on, since)| {
+            let there = &self.engines[&ran_on].listing;
+            let together = match kind.group.as_str() {
+                "all" => true,
+                "zone" => there.location == listing.location,
+                _ => there.cell == listing.cell,
+            };
+            together && self.now + self.guard() < since + kind.window
+        });
         // Rule 3: at once, well within the grace.
         let running = listing.stage == Stage::Running;
         // Rule 4.
         let spare = self.cold_budget(engine) >= usual_work(kind);
-        // Rule 5.
-        let turn = held.job.key.filter(|_| kind.ordered).is_none_or(|key| {
-            self.turns[&key].front() == Some(&id) && self.rests.get(&key).is_none_or(|rest| *rest <= self.now)
-        });
         // Rule 6.
         let among = |list: &Option<Vec<f64>>, x| list.as_ref().is_none_or(|list| list.contains(&(x as f64)));
         let placed = among(&kind.locations, listing.location) && among(&kind.machines, listing.machine);
-        // Rule 7 and the limit of dispatches for one job.
-        let budget = held.copies == 0 || self.within_budget();
-        open && once && running && spare && turn && placed && budget && self.again(held)
+        once && running && spare && placed
     }
 
     /// Whether a job may have one more dispatch, as far as its effect and their number go.
@@ -422,9 +442,12 @@
 
     /// Usual work that this gateway may still send to an engine within the window of the cold rule.
     fn cold_budget(&self, engine: &Engine) -> f64 {
-        let warm =
-            engine.listing.ready_at.is_none_or(|ready| self.now >= ready + self.span("Contract.WarmAfter"));
-        if warm || self.contract("Contract.FallMultiple") <= 0.0 {
+        let Some(ready) = engine.listing.ready_at else {
+            return f64::INFINITY;
+        };
+        if self.now >= ready + self.span("Contract.WarmAfter")
+            || self.contract("Contract.FallMultiple") <= 0.0
+        {
             return f64::INFINITY;
         }
         let window = self.span("Contract.OverloadFor");
@@ -436,7 +459,7 @@
 
     /// The one place from which a dispatch goes out. `next` is handed its result.
     fn send(&mut self, id: JobId, to: usize, choice: Option<Choice>, next: Next) -> bool {
-        if !self.may_send(id, to) {
+        if !self.may_go(id) || !self.may_go_to(id, to) {
             return false;
         }
         let terms = self.terms(id);
@@ -451,6 +474,12 @@
         let memory = if granted > 0.0 { granted } else { held.memory }.min(engine.most_mb);
         engine.memory_out += memory;
         engine.outs += 1;
+        if kind.holds {
+            engine.loads.push(held.job.group);
+        }
+        if engine.on_trial {
+            engine.trial = Some(id);
+        }
         engine.sent.push_back((self.now, usual_work(kind)));
         let limit = held.ends - self.now;
         let (copy, sent) = (held.copies, self.now);
@@ -533,8 +562,9 @@
             self.turns.entry(key).or_default().retain(|other| *other != id);
             self.at(self.rests.get(&key).copied().unwrap_or(self.now), |logic| logic.place_waiting());
         }
-        self.jobs.remove(&id);
-        self.waiting.retain(|other| *other != id);
+        if self.jobs.remove(&id).is_some_and(|held| held.waits) {
+            self.waiting.retain(|other| *other != id);
+        }
         self.decided.released.push(id);
     }
 
@@ -543,82 +573,85 @@
     /// Sends a job to the engine that the mechanism chooses, or keeps it until one may take it.
     fn place(&mut self, id: JobId) {
         let after = |logic: &mut Logic, id: JobId, verdict: Verdict| logic.after_dispatch(id, verdict);
-        match self.choose(id) {
-            Some((engine, choice)) if self.send(id, engine, choice, Box::new(after)) => {
-                self.waiting.retain(|other| *other != id);
-            }
-            _ if !self.waiting.contains(&id) => self.waiting.push(id),
-            _ => {}
-        }
+        let sent =
+            self.choose(id).is_some_and(|(engine, choice)| self.send(id, engine, choice, Box::new(after)));
+        let held = self.jobs.get_mut(&id).expect("a job that is placed is held");
+        if !sent && !held.waits {
+            self.waiting.push(id);
+        }
+        held.waits = !sent;
+    }
+
+    /// The order in which a table group's jobs walk the running engines.
+    fn order(&mut self, group: u64) -> Rc<[usize]> {
+        let (running, engines) = (&self.running, &self.engines);
+        let sorted = || {
+            let mut order = running.clone();
+            order.sort_by_cached_key(|e| (mix(engines[e].hash ^ mix(group)), *e));
+            order.into()
+        };
+        self.orders.entry(group).or_insert_with(sorted).clone()
     }
 
     fn choose(&mut self, id: JobId) -> Option<(usize, Option<Choice>)> {
-        let held = &self.jobs[&id];
-        let (reservation, group) = (held.job.reservation, held.job.group);
-        let kind = &self.types[reservation];
-        let may = |e: &usize| self.engines[e].full_until <= self.now && self.may_send(id, *e);
-        let may: Vec<usize> = self.engines.keys().copied().filter(may).collect();
-        // Never an engine under suspicion; the one just tried, one on trial for a run-once job, and one where a
-        // load is known to hold this group only if there is no other.
-        let well = |e: &usize| {
-            let engine = &self.engines[e];
-            let since = |out: &Out| out.engine == *e && out.sent >= engine.shunned_until;
-            let tried = || self.jobs.values().any(|job| job.out.as_ref().is_some_and(since));
-            engine.shunned_until <= self.now && !(engine.on_trial && tried())
-        };
-        let best = |e: &usize| {
-            let risky = self.engines[e].on_trial && kind.effect == Effect::RunOnce;
-            !risky && held.last != Some(*e)
-        };
-        // Where a load holds this group, by a note or as one of this gateway's own.
-        let own_load = |other: &Held| other.job.group == group && self.types[other.job.reservation].holds;
-        let loads = self.jobs.values().filter(|other| own_load(other)).filter_map(|other| other.out.as_ref());
-        let loads: Vec<usize> = loads.map(|out| out.engine).collect();
-        let free = |e: &usize| {
-            let noted = self.engines[e].holds.get(&group).is_some_and(|until| *until > self.now);
-            !((noted || loads.contains(e)) && (kind.waits || kind.holds))
-        };
-        let well: Vec<usize> = may.into_iter().filter(well).collect();
-        let mut among: Vec<usize> = well.iter().copied().filter(|e| best(e) && free(e)).collect();
-        if among.is_empty() {
-            among = well.iter().copied().filter(best).collect();
-        }
-        if among.is_empty() {
-            among = well;
-        }
-        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables.
-        among.sort_by_key(|e| (mix(self.engines[e].hash ^ mix(group)), *e));
-        if kind.holds {
-            among.reverse();
+        if !self.may_go(id) {
+            return None;
         }
-        let busy = |e: &Engine| e.threads / (e.cores * self.warmth(e));
+        let order = self.order(self.jobs[&id].job.group);
+        let held = &self.jobs[&id];
+        let (kind, group) = (&self.types[held.job.reservation], held.job.group);
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
-        let total = |of: fn(&Engine) -> f64| self.running().map(|(_, engine)| of(engine)).sum::<f64>();
-        let room = total(|engine| load(engine, 0.0, 0.0)) < total(|engine| engine.bound);
-        let under = |e: &usize| {
-            let engine = &self.engines[e];
+        let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
+        let room = OnceCell::new();
+        let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
+        let under = |engine: &Engine| {
             let load = load(engine, kind.threads, held.memory);
-            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room)
+            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
-        let near = |e: &usize| costs && self.engines[e].listing.location as f64 == zone;
-        let mut pair: Vec<usize> = among.iter().copied().filter(|e| near(e) && under(e)).take(2).collect();
-        if pair.len() < 2 {
-            pair = among.iter().copied().filter(under).take(2).collect();
-        }
-        if pair.is_empty() && self.tight {
-            return None;
+        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables.
+        // The walk ends with two engines that nothing speaks against. Else those where a load is known to hold this
+        // group come next, by a note or as one of this gateway's own, then the one just tried and, for a run-once
+        // job, those on trial; never one under suspicion.
+        let (mut open, mut below, mut near) =
+            ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
+        for at in 0..order.len() {
+            let e = order[if kind.holds { order.len() - 1 - at } else { at }];
+            let engine = &self.engines[&e];
+            let tried = engine.on_trial && engine.trial.is_some();
+            if engine.shunned_until.max(engine.full_until) > self.now || tried || !self.may_go_to(id, e) {
+                continue;
+            }
+            let held_there = engine.loads.contains(&group)
+                || engine.holds.get(&group).is_some_and(|until| *until > self.now);
+            let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
+            let tier = if last { 2 } else { usize::from(held_there && (kind.waits || kind.holds)) };
+            open[tier].push(e);
+            if under(engine) {
+                below[tier].push(e);
+                if tier == 0 && costs && engine.listing.location as f64 == zone {
+                    near.push(e);
+                }
+                if tier == 0 && (if costs { near.len() } else { below[0].len() }) == 2 {
+                    break;
+                }
+            }
         }
+        let no_room = below.iter().all(Vec::is_empty);
+        let tier = open.iter().position(|open| !open.is_empty()).unwrap_or(0);
+        let mut pair = if near.len() == 2 { near } else { std::mem::take(&mut below[tier]) };
         if pair.len() < 2 && !self.tight {
-            pair = among;
+            pair = std::mem::take(&mut open[tier]);
             pair.retain(|e| load(&self.engines[e], 0.0, 0.0) < BOUND_MOST);
-            pair.sort_by(|a, b| busy(&self.engines[a]).total_cmp(&busy(&self.engines[b])));
-            pair.truncate(2);
+            let busy =
+                |e: &usize| self.engines[e].threads / (self.engines[e].cores * self.warmth(&self.engines[e]));
+            pair.sort_by(|a, b| busy(a).total_cmp(&busy(b)));
         }
+        self.no_room = no_room;
         match pair[..] {
-            [first, second] => Some(self.weigh([first, second], id)),
+            [first, second, ..] => Some(self.weigh([first, second], id)),
             [only] => Some((only, None)),
             _ => None,
         }
@@ -642,13 +675,7 @@
 
     /// λ0: the rate at which this gateway's equal part of the pool would be full with its usual jobs.
     fn fair_rate(&self) -> f64 {
-        let cores: f64 = self.running().map(|(_, engine)| engine.cores).sum();
-        (cores * 1000.0 / self.arrivals.mean_or(1.0).max(1.0) / self.gateways).max(1e-3)
-    }
-
-    fn running(&self) -> impl Iterator<Item = (usize, &Engine)> {
-        let runs = |engine: &&Engine| engine.listing.stage == Stage::Running;
-        self.engines.iter().map(|(id, engine)| (*id, engine)).filter(move |(_, engine)| runs(engine))
+        (self.cores * 1000.0 / self.arrivals.mean_or(1.0).max(1.0) / self.gateways).max(1e-3)
     }
 
     fn latency(&self, engine: usize, reservation: usize) -> f64 {
@@ -675,21 +702,26 @@
             _ => share(engines.map(|e| e.memory_out / e.memory_mb.max(1.0))),
         };
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
+        self.deviate(e, 1.0);
         self.deviations.push_back(e);
-        if self.deviations.len() > DEVIATIONS {
-            self.deviations.pop_front();
+        if self.deviations.len() > DEVIATIONS
+            && let Some(old) = self.deviations.pop_front()
+        {
+            self.deviate(old, -1.0);
         }
-        let n = self.deviations.len() as f64;
-        let mean = [0, 1].map(|i| self.deviations.iter().map(|e| e[i]).sum::<f64>() / n);
-        let cov = |i: usize, j: usize| {
-            self.deviations.iter().map(|e| (e[i] - mean[i]) * (e[j] - mean[j])).sum::<f64>() / n
-        };
+        let [x, y, xx, xy, yy] = self.deviated.map(|sum| sum / self.deviations.len() as f64);
         // A little on the diagonal keeps the covariance regular when deviations hardly vary.
-        let (a, b, d) = (cov(0, 0) + 1e-3, cov(0, 1), cov(1, 1) + 1e-3);
+        let (a, b, d) = (xx - x * x + 1e-3, xy - x * y, yy - y * y + 1e-3);
         let squared = (d * e[0] * e[0] - 2.0 * b * e[0] * e[1] + a * e[1] * e[1]) / (a * d - b * b);
         (e[0].signum() * squared.max(0.0).sqrt()).tanh()
     }
 
+    fn deviate(&mut self, [x, y]: [f64; 2], sign: f64) {
+        for (sum, term) in self.deviated.iter_mut().zip([x, y, x * x, x * y, y * y]) {
+            *sum += sign * term;
+        }
+    }
+
     /// γ steps by c/√t against the mean error since its last step.
     fn step_gamma(&mut self) {
         if self.now - self.gamma_at < GAMMA_EVERY || self.deviations.is_empty() {
@@ -699,8 +731,7 @@
         self.gamma_steps += 1.0;
         let n = self.deviations.len() as f64;
         for i in 0..2 {
-            let error = self.deviations.iter().map(|e| e[i]).sum::<f64>() / n;
-            let step = GAMMA_STEP / self.gamma_steps.sqrt() * error;
+            let step = GAMMA_STEP / self.gamma_steps.sqrt() * self.deviated[i] / n;
             self.gamma[i] = (self.gamma[i] - step).clamp(0.0, 1.0);
         }
     }
@@ -733,6 +764,10 @@
         engine.threads = (engine.threads - kind.threads).max(0.0);
         engine.memory_out = (engine.memory_out - out.memory).max(0.0);
         engine.outs = engine.outs.saturating_sub(1);
+        engine.trial = engine.trial.filter(|job| *job != id);
+        if let Some(at) = engine.loads.iter().position(|group| kind.holds && *group == held.job.group) {
+            engine.loads.swap_remove(at);
+        }
         match outcome.verdict {
             Verdict::Done => {
                 (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
@@ -802,6 +837,7 @@
         engine.backoff = if again { Span((engine.backoff.0 * 2).min(BEAT.0 * 32)) } else { BEAT.times(2.0) };
         engine.shunned_until = self.now + engine.backoff;
         engine.on_trial = true;
+        engine.trial = None;
     }
 
     /// What follows a dispatch that did not answer: another one where that is allowed and of use.
@@ -823,7 +859,7 @@
         let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else {
             return;
         };
-        if kind.effect != Effect::Restartable || !self.again(held) || self.running().count() < 2 {
+        if kind.effect != Effect::Restartable || !self.again(held) || self.running.len() < 2 {
             return;
         }
         let age = (self.now - out.sent).ms();
@@ -846,23 +882,27 @@
     /// Held jobs go in the order of their billed value for their work; one that would come too late is given up.
     fn place_waiting(&mut self) {
         self.placing = false;
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|id| self.jobs.get(id).is_some_and(|held| !held.over));
-        waiting.sort_by(|a, b| self.jobs[b].value.total_cmp(&self.jobs[a].value));
-        // Where one job found no room, none of its type and tables that needs as much will: spares a long line's work.
-        let mut no_room: BTreeMap<(usize, u64), f64> = BTreeMap::new();
-        for id in waiting {
-            let held = &self.jobs[&id];
-            let (kind, memory) = ((held.job.reservation, held.job.group), held.memory);
-            let alike = held.copies == 0 && !self.types[kind.0].ordered;
+        let waiting = std::mem::take(&mut self.waiting);
+        let value =
+            |id: JobId| self.jobs.get(&id).filter(|held| held.waits && !held.over).map(|held| held.value);
+        let mut waiting: Vec<(JobId, f64)> =
+            waiting.into_iter().filter_map(|id| Some((id, value(id)?))).collect();
+        waiting.sort_by(|a, b| b.1.total_cmp(&a.1));
+        // Where one job found no room anywhere, none of its type that needs as much will: spares a long line's work.
+        let mut no_room = vec![f64::INFINITY; self.types.len()];
+        for (id, _) in waiting {
+            let held = self.jobs.get_mut(&id).expect("a job that waits is held");
+            let (kind, memory) = (held.job.reservation, held.memory);
+            let alike = held.copies == 0 && !self.types[kind].ordered;
             if self.now + Span::from_ms(held.bare) > held.sla_ends {
                 self.give_up(id);
-            } else if alike && no_room.get(&kind).is_some_and(|least| memory >= *least) {
+            } else if alike && memory >= no_room[kind] {
                 self.waiting.push(id);
             } else {
+                held.waits = false;
                 self.place(id);
-                if alike && self.waiting.last() == Some(&id) {
-                    no_room.insert(kind, memory);
+                if alike && self.no_room && self.waiting.last() == Some(&id) {
+                    no_room[kind] = memory;
                 }
             }
         }
@@ -952,7 +992,7 @@
         }
         let pulls = self.settings.text("Report.How") == "pull";
         // Probes cost engines work: at most one for so many jobs taken.
-        let running = self.running().count() as f64;
+        let running = self.running.len() as f64;
         let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
         let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
         let now = self.now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,10 @@
     pub shunned_until: Moment,
     pub backoff: Span,
     pub on_trial: bool,
+    /// The job that is out on trial.
+    pub trial: Option<JobId>,
+    /// Table groups of own loads that are out.
+    pub loads: Vec<u64>,
     /// Refused and broken connections since the last answer.
     pub strikes: u32,
     pub heard: Moment,
@@ -226,6 +230,8 @@
     pub unsure_at: Option<Moment>,
     pub last: Option<usize>,
     pub over: bool,
+    /// It is in the line at the gateway.
+    pub waits: bool,
     pub rank: u8,
 }
 
