--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,9 @@
 const GRANT_MOST: f64 = 4.0;
 const GRANT_UP: f64 = 0.2; // how far a spill moves it, and a job without a spill
 const GRANT_DOWN: f64 = 0.99;
+const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
+const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
+const SPREAD: f64 = 0.3; // part of a bound over which many gateways that see one report are spread by chance
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -75,6 +78,11 @@
     gamma_steps: f64,
     gamma_at: Moment,
     arrivals: Fading,
+    /// Threads and memory of the jobs taken, weighed by how long they run: those of a job that is out somewhere.
+    usual_threads: Fading,
+    usual_memory: Fading,
+    /// Probes of pairs that may still be made.
+    asks: f64,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
     pace: Fading,
@@ -173,8 +181,12 @@
             job,
             ..Held::default()
         };
+        self.usual_threads.add(now, CALM_OVER, kind.threads, held.bare);
+        self.usual_memory.add(now, CALM_OVER, held.memory * kind.grant, held.bare);
         held.value = self.value(&held);
         self.arrivals.add(now, RECENT, cost, 1.0);
+        let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
+        self.asks = (self.asks + (ASK_SPEND / price.max(1e-6)).min(4.0)).min(12.0);
         let (guard, bare) = (held.ends - self.guard(), Span::from_ms(held.bare));
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             self.turns.entry(key).or_default().push_back(id);
@@ -285,6 +297,9 @@
             }
         }
         self.read_report(id, &report);
+        if self.engines.get(&id).is_some_and(|engine| engine.whole) {
+            self.place_waiting();
+        }
         self.finish()
     }
 
@@ -338,6 +353,26 @@
         billed / (held.cost.max(1.0) / 1000.0)
     }
 
+    /// Load on an engine with so much more. Where its bound is the whole engine's, all gateways' jobs count, as its last
+    /// report told them, with what this one sent since.
+    fn fill(&self, engine: &Engine, threads: f64, memory: f64) -> f64 {
+        let own = load(engine, threads, memory);
+        if !engine.whole {
+            return own;
+        }
+        let usual = self.usual_threads.mean_or(1.0);
+        let told = match engine.jobs {
+            Some(jobs) => {
+                let by_threads = jobs * usual / (engine.cores * THREADS_A_CORE);
+                let by_memory = jobs * self.usual_memory.mean_or(0.0) / engine.memory_mb.max(1.0);
+                by_threads.max(by_memory)
+            }
+            None => engine.processor.unwrap_or(0.0),
+        };
+        let since = (engine.since + threads) / (engine.cores * THREADS_A_CORE);
+        own.max(told.max(engine.memory.unwrap_or(0.0)) + since)
+    }
+
     fn list(&mut self, listing: Listing) {
         let id = listing.engine.0 as usize;
         let restarted = listing.ready_at.is_some()
@@ -348,17 +383,25 @@
             let hash = listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
                 (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
             });
+            let cores = known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1);
+            // An equal share of less than one thread has no meaning: the bound then is the whole engine's, for all.
+            let reports =
+                self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") != "silent";
+            let whole = THREADS_A_CORE * cores < self.gateways && reports;
+            let share = if whole { 1.0 } else { 1.0 / self.gateways };
             let Engine { threads, memory_out, outs, sent, .. } = self.engines.remove(&id).unwrap_or_default();
             let engine = Engine {
                 hash,
-                cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
+                cores,
                 memory_mb: memory_mb.unwrap_or(f64::INFINITY),
                 most_mb: memory_mb.unwrap_or(0.0) * self.settings.number("Extra.MostGrant").unwrap_or(1.0),
                 latency: vec![None; self.types.len()],
                 threads,
                 memory_out,
                 outs,
-                bound: 1.0 / self.gateways,
+                bound: share,
+                share,
+                whole,
                 heard: self.now,
                 sent,
                 listing,
@@ -474,6 +517,7 @@
         let memory = if granted > 0.0 { granted } else { held.memory }.min(engine.most_mb);
         engine.memory_out += memory;
         engine.outs += 1;
+        engine.since += kind.threads;
         if kind.holds {
             engine.loads.push(held.job.group);
         }
@@ -598,6 +642,8 @@
             return None;
         }
         let order = self.order(self.jobs[&id].job.group);
+        let many = order.first().is_some_and(|e| self.engines[e].whole);
+        let spread = if many { 1.0 - SPREAD * self.chance.next() } else { 1.0 };
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
@@ -605,9 +651,13 @@
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         let under = |engine: &Engine| {
-            let load = load(engine, kind.threads, held.memory);
+            let load = self.fill(engine, kind.threads, held.memory);
+            if engine.whole {
+                return load <= engine.bound * self.warmth(engine) * spread;
+            }
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
+        let (now, mut ask) = (self.now, vec![]);
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
@@ -629,7 +679,16 @@
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
             let tier = if last { 2 } else { usize::from(held_there && (kind.waits || kind.holds)) };
             open[tier].push(e);
-            if under(engine) {
+            let old = engine.whole && now - engine.reported > ASK_AFTER;
+            if old
+                && (engine.probe_out
+                    || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
+            {
+                ask.push(e);
+                if ask.len() + below[0].len() >= 2 {
+                    break;
+                }
+            } else if under(engine) {
                 below[tier].push(e);
                 if tier == 0 && costs && engine.listing.location as f64 == zone {
                     near.push(e);
@@ -639,10 +698,22 @@
                 }
             }
         }
+        if !ask.is_empty() {
+            for e in ask {
+                let engine = self.engines.get_mut(&e).expect("an engine of the walk is known");
+                if !engine.probe_out {
+                    (engine.probe_out, engine.probed) = (true, now);
+                    self.asks -= 1.0;
+                    self.decided.probes.push(EngineId(e as u32));
+                }
+            }
+            self.no_room = false;
+            return None;
+        }
         let no_room = below.iter().all(Vec::is_empty);
         let tier = open.iter().position(|open| !open.is_empty()).unwrap_or(0);
         let mut pair = if near.len() == 2 { near } else { std::mem::take(&mut below[tier]) };
-        if pair.len() < 2 && !self.tight {
+        if pair.len() < 2 && !self.tight && !many {
             pair = std::mem::take(&mut open[tier]);
             pair.retain(|e| load(&self.engines[e], 0.0, 0.0) < BOUND_MOST);
             let busy =
@@ -746,8 +817,9 @@
         let told = |name: &str| report.iter().find(|(told, _)| told == name).map(|(_, value)| value.max(0.0));
         let processor = told("load_share").or(told("concurrent").map(|jobs| jobs / engine.cores));
         engine.processor = processor.or(engine.processor);
+        engine.jobs = told("concurrent").or(engine.jobs);
         if !report.is_empty() {
-            engine.reported = now;
+            (engine.reported, engine.since) = (now, 0.0);
         }
         engine.memory = told("x0").or(engine.memory);
     }
@@ -801,9 +873,9 @@
                 }
             }
             Verdict::Full => {
+                let full = if engine.whole { engine.bound } else { load(engine, 0.0, 0.0) };
                 engine.full_until = now + BEAT;
-                engine.bound =
-                    engine.bound.min(load(engine, 0.0, 0.0) * 0.8).max(BOUND_LEAST / self.gateways);
+                engine.bound = engine.bound.min(full * 0.8).max(BOUND_LEAST * engine.share);
                 self.pace.add(now, PACE_OVER, PACE_CLIP, bare);
             }
             _ => {}
@@ -973,14 +1045,14 @@
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
             }
         }
-        for engine in self.engines.values_mut() {
+        let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
+        for (engine, fill) in self.engines.values_mut().zip(fills) {
             engine.pace.touch(now, PACE_OVER);
             let pace = engine.pace.mean_with(1.0, PACE_PRIOR);
-            let used = load(engine, 0.0, 0.0) > 0.5 * engine.bound;
-            let least = BOUND_LEAST / self.gateways * (pool / pace).min(1.0);
-            if pace > PACE_BAD && used {
+            let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
+            if pace > PACE_BAD && fill > 0.5 * engine.bound {
                 engine.bound = (engine.bound * 0.93).max(least);
-            } else if pace < PACE_GOOD && load(engine, 0.0, 0.0) > 0.7 * engine.bound {
+            } else if pace < PACE_GOOD && fill > 0.7 * engine.bound {
                 engine.bound = (engine.bound * 1.05).min(BOUND_MOST);
             }
         }
@@ -997,7 +1069,7 @@
         let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
         let now = self.now;
         for (id, engine) in self.engines.iter_mut() {
-            let wanted = pulls || (engine.on_trial && engine.outs == 0);
+            let wanted = (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
             let due =
                 !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
             if engine.listing.stage == Stage::Running && wanted && due {
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,11 +163,17 @@
     pub processor: Option<f64>,
     pub reported: Moment,
     pub memory: Option<f64>,
+    /// Jobs in hand there, as told; and own threads sent since.
+    pub jobs: Option<f64>,
+    pub since: f64,
     pub threads: f64,
     pub memory_out: f64,
     pub outs: u32,
     /// Own load (see `load`) up to which the order takes it; follows its pace.
     pub bound: f64,
+    /// This gateway's equal share of the bound, or 1 where that is too small to have a meaning.
+    pub share: f64,
+    pub whole: bool,
     pub full_until: Moment,
     /// Time that jobs took there over the time that their work alone would take.
     pub pace: Fading,
