--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,6 @@
 const GRANT_DOWN: f64 = 0.99;
 const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
-const SPREAD: f64 = 0.3; // part of a bound over which many gateways that see one report are spread by chance
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -81,6 +80,8 @@
     /// Threads and memory of the jobs taken, weighed by how long they run: those of a job that is out somewhere.
     usual_threads: Fading,
     usual_memory: Fading,
+    /// How many of the engines walked past were full.
+    crowd: Fading,
     /// Probes of pairs that may still be made.
     asks: f64,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
@@ -385,9 +386,10 @@
             });
             let cores = known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1);
             // An equal share of less than one thread has no meaning: the bound then is the whole engine's, for all.
-            let reports =
-                self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") != "silent";
-            let whole = THREADS_A_CORE * cores < self.gateways && reports;
+            let names = (0..4).map(|i| self.settings.text(&format!("Report.Names.{i}")));
+            let told =
+                self.settings.flag("Ceilings.Probes") && names.into_iter().any(|name| name == "concurrent");
+            let whole = THREADS_A_CORE * cores < self.gateways && told;
             let share = if whole { 1.0 } else { 1.0 / self.gateways };
             let Engine { threads, memory_out, outs, sent, .. } = self.engines.remove(&id).unwrap_or_default();
             let engine = Engine {
@@ -643,21 +645,31 @@
         }
         let order = self.order(self.jobs[&id].job.group);
         let many = order.first().is_some_and(|e| self.engines[e].whole);
-        let spread = if many { 1.0 - SPREAD * self.chance.next() } else { 1.0 };
+        let draw = if many { self.chance.next() } else { 0.0 };
+        // Jobs a second for each engine, of all gateways that walk past full engines as this one does.
+        let rate = self.arrivals.per_second(self.now, RECENT) * self.gateways / order.len().max(1) as f64;
+        let demand = rate / (1.0 - self.crowd.mean_or(0.0)).max(0.1);
+        let usual_time = self.arrivals.mean_or(1.0) / self.usual_threads.mean_or(1.0) / 1000.0;
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
+        let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
-                return load <= engine.bound * self.warmth(engine) * spread;
+                let told = now - engine.reported <= ASK_AFTER.times(2.0);
+                // Many gateways see one report: together they send what ends meanwhile, and fill what is free.
+                let room = (engine.bound * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
+                let free = room / self.usual_threads.mean_or(1.0) / (ASK_AFTER.ms() / 500.0);
+                let ends = engine.jobs.unwrap_or(0.0) / usual_time.max(0.01);
+                return told && room >= 0.0 && draw * demand <= free + ends;
             }
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
-        let (now, mut ask) = (self.now, vec![]);
+        let (mut ask, mut looked) = (vec![], [0.0; 2]);
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
@@ -688,7 +700,11 @@
                 if ask.len() + below[0].len() >= 2 {
                     break;
                 }
-            } else if under(engine) {
+                continue;
+            }
+            looked[0] += 1.0;
+            if under(engine) {
+                looked[1] += 1.0;
                 below[tier].push(e);
                 if tier == 0 && costs && engine.listing.location as f64 == zone {
                     near.push(e);
@@ -698,6 +714,9 @@
                 }
             }
         }
+        if looked[0] > 0.0 {
+            self.crowd.add(now, RECENT, 1.0 - looked[1] / looked[0], looked[0]);
+        }
         if !ask.is_empty() {
             for e in ask {
                 let engine = self.engines.get_mut(&e).expect("an engine of the walk is known");
