Grants of at least the memory that goes with a job's threads; disks count in the bound; jobs wait for warm tables

A job now has at least the memory that goes with its threads, learns fast from the first notes, and goes one engine further along its order with each beat that it waits.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,6 +45,7 @@
 const GRANT_DOWN: f64 = 0.99;
 const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
+const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -80,6 +81,8 @@
     /// Threads and memory of the jobs taken, weighed by how long they run: those of a job that is out somewhere.
     usual_threads: Fading,
     usual_memory: Fading,
+    groups: BTreeMap<u64, Fading>,
+    group_jobs: Fading,
     /// How many of the engines walked past were full.
     crowd: Fading,
     /// Probes of pairs that may still be made.
@@ -174,6 +177,7 @@
         let cost = told.map_or(usual_work(kind), |told| told * bias);
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let mut held = Held {
+            taken: now,
             ends: now + job.left,
             sla_ends: now + sla,
             cost,
@@ -182,6 +186,8 @@
             job,
             ..Held::default()
         };
+        self.groups.entry(held.job.group).or_default().add(now, CALM_OVER, 0.0, 1.0);
+        self.group_jobs.add(now, CALM_OVER, 0.0, 1.0);
         self.usual_threads.add(now, CALM_OVER, kind.threads, held.bare);
         self.usual_memory.add(now, CALM_OVER, held.memory * kind.grant, held.bare);
         held.value = self.value(&held);
@@ -242,9 +248,10 @@
                 && held.memory > 0.0
             {
                 out.spilled = true;
-                let grant = &mut self.types[held.job.reservation].grant;
+                let kind = &mut self.types[held.job.reservation];
                 let needed = ((out.memory + missing) / held.memory).min(GRANT_MOST);
-                *grant += GRANT_UP * (needed - *grant).max(0.0);
+                kind.spills += 1.0;
+                kind.grant += GRANT_UP.max(1.0 / (1.0 + kind.spills)) * (needed - kind.grant).max(0.0);
             }
             if let Note::Share(share) = note {
                 out.share = share;
@@ -370,6 +377,7 @@
             }
             None => engine.processor.unwrap_or(0.0),
         };
+        let told = told.max(engine.disks.unwrap_or(0.0));
         let since = (engine.since + threads) / (engine.cores * THREADS_A_CORE);
         own.max(told.max(engine.memory.unwrap_or(0.0)) + since)
     }
@@ -507,7 +515,7 @@
         if !self.may_go(id) || !self.may_go_to(id, to) {
             return false;
         }
-        let terms = self.terms(id);
+        let terms = self.terms(id, to);
         let held = self.jobs.get_mut(&id).expect("a job that may be sent is held");
         let kind = &self.types[held.job.reservation];
         let engine = self.engines.get_mut(&to).expect("an engine that may be sent to is known");
@@ -553,7 +561,9 @@
 
     /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last. The
     /// grant is the told need times what notes of spilling taught for the type, as told needs are wrong by type.
-    fn terms(&self, id: JobId) -> Option<Terms> {
+    /// A job gets at least what goes with its threads, as far as it may need it: while threads are under the bound
+    /// all such grants fit.
+    fn terms(&self, id: JobId, to: usize) -> Option<Terms> {
         let heeded = self.settings.flag("Extra.RanksHeeded") || self.settings.flag("Extra.GrantsCount");
         let held = &self.jobs[&id];
         let kind = &self.types[held.job.reservation];
@@ -564,7 +574,10 @@
             _ => 1,
         };
         let grants = self.settings.flag("Extra.GrantsCount");
-        let grant_mb = if grants { (held.memory * kind.grant).round() } else { 0.0 };
+        let engine = &self.engines[&to];
+        let fits = engine.memory_mb * kind.threads / (engine.cores * THREADS_A_CORE);
+        let grant = (held.memory * kind.grant).max(fits.min(held.memory * GRANT_MOST));
+        let grant_mb = if grants { grant.round() } else { 0.0 };
         heeded.then_some(Terms { rank, grant_mb })
     }
 
@@ -670,6 +683,12 @@
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
         let (mut ask, mut looked) = (vec![], [0.0; 2]);
+        // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
+        // further with each beat, and hot groups have as many engines as their traffic asks for.
+        let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
+        let hot = HOME * order.len() as f64 * own / (20.0 + self.group_jobs.weight);
+        let waited = ((now - held.taken).ms() / BEAT.ms()).floor();
+        let depth = if many { (2.0 + hot.floor() + waited) as usize } else { usize::MAX };
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
@@ -690,6 +709,9 @@
                 || engine.holds.get(&group).is_some_and(|until| *until > self.now);
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
             let tier = if last { 2 } else { usize::from(held_there && (kind.waits || kind.holds)) };
+            if open.iter().map(Vec::len).sum::<usize>() >= depth {
+                break;
+            }
             open[tier].push(e);
             let old = engine.whole && now - engine.reported > ASK_AFTER;
             if old
@@ -841,6 +863,7 @@
             (engine.reported, engine.since) = (now, 0.0);
         }
         engine.memory = told("x0").or(engine.memory);
+        engine.disks = told("x1").or(engine.disks);
     }
 
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
@@ -1037,7 +1060,7 @@
             if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
                 self.see_pace(id, engine, age, 0.1);
             }
-            if let Some(terms) = self.terms(id).filter(|terms| terms.rank != rank) {
+            if let Some(terms) = self.terms(id, engine).filter(|terms| terms.rank != rank) {
                 self.jobs.get_mut(&id).expect("held").rank = terms.rank;
                 self.decided.terms.push((id, terms));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,6 +121,7 @@
     pub calm: Option<f64>,
     /// Memory granted over memory told.
     pub grant: f64,
+    pub spills: f64,
 }
 
 impl Reservation {
@@ -163,6 +164,7 @@
     pub processor: Option<f64>,
     pub reported: Moment,
     pub memory: Option<f64>,
+    pub disks: Option<f64>,
     /// Jobs in hand there, as told; and own threads sent since.
     pub jobs: Option<f64>,
     pub since: f64,
@@ -222,6 +224,7 @@
 #[derive(Default)]
 pub struct Held {
     pub job: Job,
+    pub taken: Moment,
     pub ends: Moment,
     pub sla_ends: Moment,
     /// Work in milliseconds on one thread, and the same spread over its threads.
