--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,7 @@
 const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
+const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -81,6 +82,7 @@
     /// Threads and memory of the jobs taken, weighed by how long they run: those of a job that is out somewhere.
     usual_threads: Fading,
     usual_memory: Fading,
+    billed: Fading,
     groups: BTreeMap<u64, Fading>,
     group_jobs: Fading,
     /// How many of the engines walked past were full.
@@ -100,6 +102,11 @@
     kind.true_cost.mean_or(kind.told_cost.mean_or(kind.sla.ms() * kind.threads / 2.0))
 }
 
+/// Billed value for a second of the usual work of a type.
+fn usual_billed(kind: &Reservation) -> f64 {
+    kind.billed / (usual_work(kind).max(1.0) / 1000.0)
+}
+
 /// Own load on an engine with so much more: threads against two a core or memory against all there is.
 fn load(engine: &Engine, threads: f64, memory: f64) -> f64 {
     let threads = (engine.threads + threads) / (engine.cores * THREADS_A_CORE);
@@ -188,6 +195,7 @@
         };
         self.groups.entry(held.job.group).or_default().add(now, CALM_OVER, 0.0, 1.0);
         self.group_jobs.add(now, CALM_OVER, 0.0, 1.0);
+        self.billed.add(now, CALM_OVER, kind.billed / (cost.max(1.0) / 1000.0), cost);
         self.usual_threads.add(now, CALM_OVER, kind.threads, held.bare);
         self.usual_memory.add(now, CALM_OVER, held.memory * kind.grant, held.bare);
         held.value = self.value(&held);
@@ -229,8 +237,7 @@
         self.release(id);
         // Held jobs are looked at soon after, once for all that came back by then.
         if !self.waiting.is_empty() && !self.placing {
-            self.placing = true;
-            self.after(PLACE_EVERY, |logic| logic.place_waiting());
+            self.place_after(PLACE_EVERY);
         }
         self.finish()
     }
@@ -377,7 +384,6 @@
             }
             None => engine.processor.unwrap_or(0.0),
         };
-        let told = told.max(engine.disks.unwrap_or(0.0));
         let since = (engine.since + threads) / (engine.cores * THREADS_A_CORE);
         own.max(told.max(engine.memory.unwrap_or(0.0)) + since)
     }
@@ -635,10 +641,27 @@
         let sent =
             self.choose(id).is_some_and(|(engine, choice)| self.send(id, engine, choice, Box::new(after)));
         let held = self.jobs.get_mut(&id).expect("a job that is placed is held");
-        if !sent && !held.waits {
+        let waits = std::mem::replace(&mut held.waits, !sent);
+        if !sent && !waits {
             self.waiting.push(id);
         }
-        held.waits = !sent;
+        if !sent && !self.placing && self.many() {
+            let pause = PLACE_EVERY.times(5.0 + 5.0 * self.chance.next());
+            self.place_after(pause);
+        }
+    }
+
+    /// Whether bounds are whole engines' here.
+    fn many(&self) -> bool {
+        self.running.first().is_some_and(|e| self.engines[e].whole)
+    }
+
+    fn place_after(&mut self, pause: Span) {
+        self.placing = true;
+        self.after(pause, |logic| {
+            logic.placing = false;
+            logic.place_waiting();
+        });
     }
 
     /// The order in which a table group's jobs walk the running engines.
@@ -657,7 +680,7 @@
             return None;
         }
         let order = self.order(self.jobs[&id].job.group);
-        let many = order.first().is_some_and(|e| self.engines[e].whole);
+        let many = self.many();
         let draw = if many { self.chance.next() } else { 0.0 };
         // Jobs a second for each engine, of all gateways that walk past full engines as this one does.
         let rate = self.arrivals.per_second(self.now, RECENT) * self.gateways / order.len().max(1) as f64;
@@ -669,13 +692,17 @@
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
+        // Types that bill more for their work than the usual job may pass the bound.
+        let usual = self.billed.mean_or(held.value);
+        let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
                 let told = now - engine.reported <= ASK_AFTER.times(2.0);
                 // Many gateways see one report: together they send what ends meanwhile, and fill what is free.
-                let room = (engine.bound * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
+                let room =
+                    (engine.bound * dense * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
                 let free = room / self.usual_threads.mean_or(1.0) / (ASK_AFTER.ms() / 500.0);
                 let ends = engine.jobs.unwrap_or(0.0) / usual_time.max(0.01);
                 return told && room >= 0.0 && draw * demand <= free + ends;
@@ -687,8 +714,8 @@
         // further with each beat, and hot groups have as many engines as their traffic asks for.
         let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
         let hot = HOME * order.len() as f64 * own / (20.0 + self.group_jobs.weight);
-        let waited = ((now - held.taken).ms() / BEAT.ms()).floor();
-        let depth = if many { (2.0 + hot.floor() + waited) as usize } else { usize::MAX };
+        let waited = (now - held.taken).ms() / ((held.sla_ends - held.taken).ms() - held.bare).max(1.0);
+        let depth = if many { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
@@ -863,7 +890,6 @@
             (engine.reported, engine.since) = (now, 0.0);
         }
         engine.memory = told("x0").or(engine.memory);
-        engine.disks = told("x1").or(engine.disks);
     }
 
     fn learn(&mut self, id: JobId, out: &Out, outcome: &Outcome) {
@@ -995,7 +1021,6 @@
 
     /// Held jobs go in the order of their billed value for their work; one that would come too late is given up.
     fn place_waiting(&mut self) {
-        self.placing = false;
         let waiting = std::mem::take(&mut self.waiting);
         let value =
             |id: JobId| self.jobs.get(&id).filter(|held| held.waits && !held.over).map(|held| held.value);
--- a/src/state.rs
+++ b/src/state.rs
@@ -164,7 +164,6 @@
     pub processor: Option<f64>,
     pub reported: Moment,
     pub memory: Option<f64>,
-    pub disks: Option<f64>,
     /// Jobs in hand there, as told; and own threads sent since.
     pub jobs: Option<f64>,
     pub since: f64,
