--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,6 +47,7 @@
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
+const DIGITS: &[u8; 64] = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -312,12 +313,39 @@
             }
         }
         self.read_report(id, &report);
-        if self.engines.get(&id).is_some_and(|engine| engine.whole) {
+        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole) {
+            if self.settings.flag("Ceilings.PeerMessages") && now - engine.shared > ASK_AFTER.times(0.9) {
+                engine.shared = now;
+                let pace = if engine.pace.weight > 1.0 { engine.pace.mean_or(1.0) * 8.0 } else { 0.0 };
+                let parts = [engine.hash, engine.hash >> 6, engine.hash >> 12, engine.hash >> 18];
+                let parts = parts.into_iter().chain([engine.jobs.unwrap_or(0.0) as u64, pace as u64]);
+                let digits =
+                    parts.enumerate().map(|(i, x)| DIGITS[if i < 4 { x % 64 } else { x.min(63) } as usize]);
+                self.decided.messages.push(digits.map(char::from).collect());
+            }
             self.place_waiting();
         }
         self.finish()
     }
 
+    /// Another gateway's word on an engine: its report stands for one of this gateway's own probes.
+    pub fn heard(&mut self, now: Moment, message: &str) -> Decided {
+        self.now = now;
+        let digit = |c: u8| DIGITS.iter().position(|digit| *digit == c).map(|at| at as u64);
+        let parts: Option<Vec<u64>> = message.bytes().map(digit).collect();
+        if let Some([a, b, c, d, jobs, pace]) = parts.as_deref() {
+            let hash = a | b << 6 | c << 12 | d << 18;
+            if let Some(engine) = self.engines.values_mut().find(|engine| engine.hash & 0xff_ffff == hash) {
+                (engine.reported, engine.shared, engine.since) = (now, now, 0.0);
+                engine.jobs = Some(*jobs as f64);
+                if *pace > 0 {
+                    engine.pace.add(now, PACE_OVER, *pace as f64 / 8.0, 300.0);
+                }
+            }
+        }
+        self.finish()
+    }
+
     pub fn wake(&mut self, now: Moment) -> Decided {
         self.now = now;
         while let Some(due) = self.later.first_entry().filter(|due| due.key().0 <= now) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -167,6 +167,8 @@
     /// Jobs in hand there, as told; and own threads sent since.
     pub jobs: Option<f64>,
     pub since: f64,
+    /// When a gateway last told the others of it.
+    pub shared: Moment,
     pub threads: f64,
     pub memory_out: f64,
     pub outs: u32,
