--- a/src/logic.rs
+++ b/src/logic.rs
@@ -314,14 +314,12 @@
         }
         self.read_report(id, &report);
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole) {
-            if self.settings.flag("Ceilings.PeerMessages") && now - engine.shared > ASK_AFTER.times(0.9) {
-                engine.shared = now;
+            if std::mem::take(&mut engine.watched) {
                 let pace = if engine.pace.weight > 1.0 { engine.pace.mean_or(1.0) * 8.0 } else { 0.0 };
-                let parts = [engine.hash, engine.hash >> 6, engine.hash >> 12, engine.hash >> 18];
+                let parts = [engine.hash, engine.hash >> 6, engine.hash >> 12].map(|part| part % 64);
                 let parts = parts.into_iter().chain([engine.jobs.unwrap_or(0.0) as u64, pace as u64]);
-                let digits =
-                    parts.enumerate().map(|(i, x)| DIGITS[if i < 4 { x % 64 } else { x.min(63) } as usize]);
-                self.decided.messages.push(digits.map(char::from).collect());
+                let digits = parts.map(|part| char::from(DIGITS[part.min(63) as usize]));
+                self.decided.messages.push(digits.collect());
             }
             self.place_waiting();
         }
@@ -333,10 +331,10 @@
         self.now = now;
         let digit = |c: u8| DIGITS.iter().position(|digit| *digit == c).map(|at| at as u64);
         let parts: Option<Vec<u64>> = message.bytes().map(digit).collect();
-        if let Some([a, b, c, d, jobs, pace]) = parts.as_deref() {
-            let hash = a | b << 6 | c << 12 | d << 18;
-            if let Some(engine) = self.engines.values_mut().find(|engine| engine.hash & 0xff_ffff == hash) {
-                (engine.reported, engine.shared, engine.since) = (now, now, 0.0);
+        if let Some([a, b, c, jobs, pace]) = parts.as_deref() {
+            let hash = a | b << 6 | c << 12;
+            if let Some(engine) = self.engines.values_mut().find(|engine| engine.hash & 0x3_ffff == hash) {
+                (engine.reported, engine.since) = (now, 0.0);
                 engine.jobs = Some(*jobs as f64);
                 if *pace > 0 {
                     engine.pace.add(now, PACE_OVER, *pace as f64 / 8.0, 300.0);
@@ -724,10 +722,11 @@
         let usual = self.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
+        let fresh = ASK_AFTER.times(if self.settings.flag("Ceilings.PeerMessages") { 2.0 } else { 1.0 });
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
-                let told = now - engine.reported <= ASK_AFTER.times(2.0);
+                let told = now - engine.reported <= fresh.times(2.0);
                 // Many gateways see one report: together they send what ends meanwhile, and fill what is free.
                 let room =
                     (engine.bound * dense * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
@@ -768,7 +767,7 @@
                 break;
             }
             open[tier].push(e);
-            let old = engine.whole && now - engine.reported > ASK_AFTER;
+            let old = engine.whole && now - engine.reported > fresh;
             if old
                 && (engine.probe_out
                     || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
@@ -1163,10 +1162,17 @@
         let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
         let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
         let now = self.now;
+        let slot = (now.0 / ASK_AFTER.0) as u64;
+        let ordinal = self.settings.number("Ordinal").filter(|_| self.settings.flag("Ceilings.PeerMessages"));
         for (id, engine) in self.engines.iter_mut() {
-            let wanted = (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
-            let due =
-                !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
+            // Where gateways may talk, one of them at a time watches an engine for all, by turns.
+            let mine = (mix(engine.hash ^ mix(slot)) % self.gateways as u64) as f64;
+            engine.watched |= engine.whole && ordinal == Some(mine) && engine.slot != slot;
+            engine.slot = slot;
+            let wanted = engine.watched || (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
+            let due = !engine.probe_out
+                && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every }
+                || engine.watched;
             if engine.listing.stage == Stage::Running && wanted && due {
                 (engine.probe_out, engine.probed) = (true, now);
                 self.decided.probes.push(EngineId(*id as u32));
