--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -42,9 +42,6 @@
     for &engine in &decided.probes {
         steps.push(json!({"Touch": {"ManagerId": manager, "Engine": names.engine(engine)}}));
     }
-    for message in &decided.messages {
-        steps.push(json!({"Announce": {"ManagerId": manager, "To": -1, "Msg": message}}));
-    }
     if decided.subscribe {
         steps.push(json!({"KeepInformed": {"ManagerId": manager, "Enable": true}}));
     }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -148,7 +148,6 @@
                     None => return Ok(None),
                 }
             }
-            "Memo" => self.logic.heard(now, event.text("Msg")?),
             "TimeoutFired" => {
                 if self.timer.is_some_and(|due| due <= now) {
                     self.timer = None;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,8 +220,6 @@
     pub terms: Vec<(JobId, Terms)>,
     pub dispatches: Vec<Dispatch>,
     pub probes: Vec<EngineId>,
-    /// To every other gateway.
-    pub messages: Vec<String>,
     /// Ask to be kept informed of the engine list.
     pub subscribe: bool,
     /// Call [`wake`](crate::logic::Logic::wake) at this time, or soon after.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,7 +47,6 @@
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
-const DIGITS: &[u8; 64] = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -313,37 +312,12 @@
             }
         }
         self.read_report(id, &report);
-        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole) {
-            if std::mem::take(&mut engine.watched) {
-                let pace = if engine.pace.weight > 1.0 { engine.pace.mean_or(1.0) * 8.0 } else { 0.0 };
-                let parts = [engine.hash, engine.hash >> 6, engine.hash >> 12].map(|part| part % 64);
-                let parts = parts.into_iter().chain([engine.jobs.unwrap_or(0.0) as u64, pace as u64]);
-                let digits = parts.map(|part| char::from(DIGITS[part.min(63) as usize]));
-                self.decided.messages.push(digits.collect());
-            }
+        if self.engines.get(&id).is_some_and(|engine| engine.whole) {
             self.place_waiting();
         }
         self.finish()
     }
 
-    /// Another gateway's word on an engine: its report stands for one of this gateway's own probes.
-    pub fn heard(&mut self, now: Moment, message: &str) -> Decided {
-        self.now = now;
-        let digit = |c: u8| DIGITS.iter().position(|digit| *digit == c).map(|at| at as u64);
-        let parts: Option<Vec<u64>> = message.bytes().map(digit).collect();
-        if let Some([a, b, c, jobs, pace]) = parts.as_deref() {
-            let hash = a | b << 6 | c << 12;
-            if let Some(engine) = self.engines.values_mut().find(|engine| engine.hash & 0x3_ffff == hash) {
-                (engine.reported, engine.since) = (now, 0.0);
-                engine.jobs = Some(*jobs as f64);
-                if *pace > 0 {
-                    engine.pace.add(now, PACE_OVER, *pace as f64 / 8.0, 300.0);
-                }
-            }
-        }
-        self.finish()
-    }
-
     pub fn wake(&mut self, now: Moment) -> Decided {
         self.now = now;
         while let Some(due) = self.later.first_entry().filter(|due| due.key().0 <= now) {
@@ -722,11 +696,10 @@
         let usual = self.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
-        let fresh = ASK_AFTER.times(if self.settings.flag("Ceilings.PeerMessages") { 2.0 } else { 1.0 });
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
-                let told = now - engine.reported <= fresh.times(2.0);
+                let told = now - engine.reported <= ASK_AFTER.times(2.0);
                 // Many gateways see one report: together they send what ends meanwhile, and fill what is free.
                 let room =
                     (engine.bound * dense * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
@@ -767,7 +740,7 @@
                 break;
             }
             open[tier].push(e);
-            let old = engine.whole && now - engine.reported > fresh;
+            let old = engine.whole && now - engine.reported > ASK_AFTER;
             if old
                 && (engine.probe_out
                     || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
@@ -1162,17 +1135,10 @@
         let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
         let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
         let now = self.now;
-        let slot = (now.0 / ASK_AFTER.0) as u64;
-        let ordinal = self.settings.number("Ordinal").filter(|_| self.settings.flag("Ceilings.PeerMessages"));
         for (id, engine) in self.engines.iter_mut() {
-            // Where gateways may talk, one of them at a time watches an engine for all, by turns.
-            let mine = (mix(engine.hash ^ mix(slot)) % self.gateways as u64) as f64;
-            engine.watched |= engine.whole && ordinal == Some(mine) && engine.slot != slot;
-            engine.slot = slot;
-            let wanted = engine.watched || (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
-            let due = !engine.probe_out
-                && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every }
-                || engine.watched;
+            let wanted = (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
+            let due =
+                !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
             if engine.listing.stage == Stage::Running && wanted && due {
                 (engine.probe_out, engine.probed) = (true, now);
                 self.decided.probes.push(EngineId(*id as u32));
--- a/src/state.rs
+++ b/src/state.rs
@@ -167,9 +167,6 @@
     /// Jobs in hand there, as told; and own threads sent since.
     pub jobs: Option<f64>,
     pub since: f64,
-    /// This gateway is to tell the others of its next report; the time slot last looked at for that.
-    pub watched: bool,
-    pub slot: u64,
     pub threads: f64,
     pub memory_out: f64,
     pub outs: u32,
