--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,8 +85,6 @@
     billed: Fading,
     groups: BTreeMap<u64, Fading>,
     group_jobs: Fading,
-    /// How many of the engines walked past were full.
-    crowd: Fading,
     /// Probes of pairs that may still be made.
     asks: f64,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
@@ -682,10 +680,6 @@
         let order = self.order(self.jobs[&id].job.group);
         let many = self.many();
         let draw = if many { self.chance.next() } else { 0.0 };
-        // Jobs a second for each engine, of all gateways that walk past full engines as this one does.
-        let rate = self.arrivals.per_second(self.now, RECENT) * self.gateways / order.len().max(1) as f64;
-        let demand = rate / (1.0 - self.crowd.mean_or(0.0)).max(0.1);
-        let usual_time = self.arrivals.mean_or(1.0) / self.usual_threads.mean_or(1.0) / 1000.0;
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
@@ -700,16 +694,11 @@
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
                 let told = now - engine.reported <= ASK_AFTER.times(2.0);
-                // Many gateways see one report: together they send what ends meanwhile, and fill what is free.
-                let room =
-                    (engine.bound * dense * self.warmth(engine) - load) * THREADS_A_CORE * engine.cores;
-                let free = room / self.usual_threads.mean_or(1.0) / (ASK_AFTER.ms() / 500.0);
-                let ends = engine.jobs.unwrap_or(0.0) / usual_time.max(0.01);
-                return told && room >= 0.0 && draw * demand <= free + ends;
+                return told && load <= engine.bound * dense * self.warmth(engine);
             }
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
-        let (mut ask, mut looked) = (vec![], [0.0; 2]);
+        let mut ask = vec![];
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
         // further with each beat, and hot groups have as many engines as their traffic asks for.
         let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
@@ -725,7 +714,10 @@
         // job, those on trial; never one under suspicion.
         let (mut open, mut below, mut near) =
             ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
-        for at in 0..order.len() {
+        // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
+        let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
+        let first = if many && kind.holds { (far * draw) as usize } else { 0 };
+        for at in first..order.len() {
             let e = order[if kind.holds { order.len() - 1 - at } else { at }];
             let engine = &self.engines[&e];
             let tried = engine.on_trial && engine.trial.is_some();
@@ -749,11 +741,7 @@
                 if ask.len() + below[0].len() >= 2 {
                     break;
                 }
-                continue;
-            }
-            looked[0] += 1.0;
-            if under(engine) {
-                looked[1] += 1.0;
+            } else if under(engine) {
                 below[tier].push(e);
                 if tier == 0 && costs && engine.listing.location as f64 == zone {
                     near.push(e);
@@ -763,9 +751,6 @@
                 }
             }
         }
-        if looked[0] > 0.0 {
-            self.crowd.add(now, RECENT, 1.0 - looked[1] / looked[0], looked[0]);
-        }
         if !ask.is_empty() {
             for e in ask {
                 let engine = self.engines.get_mut(&e).expect("an engine of the walk is known");
