--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1100,7 +1100,7 @@
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
             engine.pace.touch(now, PACE_OVER);
-            let pace = engine.pace.mean_with(1.0, PACE_PRIOR);
+            let pace = engine.pace.mean_with(pool, PACE_PRIOR);
             let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
             if pace > PACE_BAD && fill > 0.5 * engine.bound {
                 engine.bound = (engine.bound * 0.93).max(least);
