--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,6 +85,8 @@
     billed: Fading,
     groups: BTreeMap<u64, Fading>,
     group_jobs: Fading,
+    /// Own load on all engines together, where gateways are many.
+    window: f64,
     /// Probes of pairs that may still be made.
     asks: f64,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
@@ -153,6 +155,7 @@
         self.running = running.map(|(id, _)| *id).collect();
         self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
         self.orders.clear();
+        self.window = self.window.max(self.running.len() as f64 / self.gateways);
         self.place_waiting();
         self.finish()
     }
@@ -187,7 +190,7 @@
             sla_ends: now + sla,
             cost,
             bare: cost / kind.threads,
-            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
+            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)) * kind.memory_bias.mean_or(1.0),
             job,
             ..Held::default()
         };
@@ -649,9 +652,9 @@
         }
     }
 
-    /// Whether bounds are whole engines' here.
+    /// Whether an equal share of an engine is less than one thread.
     fn many(&self) -> bool {
-        self.running.first().is_some_and(|e| self.engines[e].whole)
+        self.running.first().is_some_and(|e| THREADS_A_CORE * self.engines[e].cores < self.gateways)
     }
 
     fn place_after(&mut self, pause: Span) {
@@ -685,7 +688,8 @@
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
-        let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
+        let most = || if many { self.window } else { total(|e| e.bound) };
+        let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < most());
         // Types that bill more for their work than the usual job may pass the bound.
         let usual = self.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
@@ -716,7 +720,8 @@
             ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
         // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
-        let first = if many && kind.holds { (far * draw) as usize } else { 0 };
+        let told = order.first().is_some_and(|e| self.engines[e].whole);
+        let first = if kind.holds { far * draw } else { hot * if told { 0.0 } else { draw } } as usize;
         for at in first..order.len() {
             let e = order[if kind.holds { order.len() - 1 - at } else { at }];
             let engine = &self.engines[&e];
@@ -896,7 +901,9 @@
         match outcome.verdict {
             Verdict::Done => {
                 (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
-                if let Some((work, _)) = outcome.bill {
+                if let Some((work, memory)) = outcome.bill {
+                    let told = held.job.memory_mb.unwrap_or(memory).max(1.0);
+                    kind.memory_bias.add(now, CALM_OVER, memory / told, told);
                     kind.true_cost.add(now, RECENT, work.ms(), 1.0);
                     kind.calm = Some(1.0);
                     held.bare = work.ms() / kind.threads;
@@ -1097,6 +1104,14 @@
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
             }
         }
+        let out: f64 = self.running.iter().map(|e| load(&self.engines[e], 0.0, 0.0)).sum();
+        let equal = self.running.len() as f64 / self.gateways;
+        if pool > PACE_BAD && out > 0.5 * self.window {
+            self.window *= 0.93;
+        } else if pool < PACE_GOOD && out > 0.7 * self.window {
+            self.window *= 1.15;
+        }
+        self.window = self.window.clamp(equal * BOUND_LEAST, self.running.len() as f64 * BOUND_MOST);
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
             engine.pace.touch(now, PACE_OVER);
