--- a/src/logic.rs
+++ b/src/logic.rs
@@ -313,7 +313,7 @@
             }
         }
         self.read_report(id, &report);
-        if self.engines.get(&id).is_some_and(|engine| engine.whole) {
+        if self.many() {
             self.place_waiting();
         }
         self.finish()
@@ -703,6 +703,7 @@
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
         let mut ask = vec![];
+        let probes = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") != "silent";
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
         // further with each beat, and hot groups have as many engines as their traffic asks for.
         let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
@@ -737,7 +738,7 @@
                 break;
             }
             open[tier].push(e);
-            let old = engine.whole && now - engine.reported > ASK_AFTER;
+            let old = many && probes && now - engine.reported > ASK_AFTER;
             if old
                 && (engine.probe_out
                     || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
@@ -1074,7 +1075,7 @@
             };
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
             let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
-            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
+            if !self.many() && !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
                 self.see_pace(id, engine, age, 0.1);
             }
             if let Some(terms) = self.terms(id, engine).filter(|terms| terms.rank != rank) {
@@ -1134,9 +1135,9 @@
         let running = self.running.len() as f64;
         let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
         let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
-        let now = self.now;
+        let (now, many) = (self.now, self.many());
         for (id, engine) in self.engines.iter_mut() {
-            let wanted = (pulls && !engine.whole) || (engine.on_trial && engine.outs == 0);
+            let wanted = (pulls && !many) || (engine.on_trial && engine.outs == 0);
             let due =
                 !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
             if engine.listing.stage == Stage::Running && wanted && due {
