--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -144,7 +144,10 @@
             "Checked" => {
                 let name = event.text("Engine")?;
                 match self.engine_numbers.get(name) {
-                    Some(&engine) => self.logic.probed(now, engine, event.verdict()?, event.report()),
+                    Some(&engine) => {
+                        let took = event.span("Rtt")?;
+                        self.logic.probed(now, engine, event.verdict()?, took, event.report())
+                    }
                     None => return Ok(None),
                 }
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,6 +85,8 @@
     billed: Fading,
     groups: BTreeMap<u64, Fading>,
     group_jobs: Fading,
+    /// The least time of a probe by location; rises slowly.
+    probe_least: BTreeMap<usize, f64>,
     /// Own load on all engines together, where gateways are many.
     window: f64,
     /// Probes of pairs that may still be made.
@@ -301,7 +303,14 @@
         self.finish()
     }
 
-    pub fn probed(&mut self, now: Moment, engine: EngineId, verdict: Verdict, report: Report) -> Decided {
+    pub fn probed(
+        &mut self,
+        now: Moment,
+        engine: EngineId,
+        verdict: Verdict,
+        took: Span,
+        report: Report,
+    ) -> Decided {
         self.now = now;
         let id = engine.0 as usize;
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -314,6 +323,14 @@
         }
         self.read_report(id, &report);
         if self.many() {
+            // Processor use stands still past full and falls where memory is overfull: there the probe's own time,
+            // against the least from the same location, tells more.
+            if let Some(engine) = self.engines.get_mut(&id).filter(|_| verdict == Verdict::Done) {
+                let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
+                *least = (*least * 1.0005).min(took.ms()).max(1e-3);
+                let strain = took.ms() / *least / PACE_BAD;
+                engine.processor = engine.processor.map(|told| told.max(strain));
+            }
             self.place_waiting();
         }
         self.finish()
@@ -694,13 +711,16 @@
         let usual = self.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
+        let fresh = |engine: &Engine| now - engine.reported <= ASK_AFTER.times(2.0);
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
                 let told = now - engine.reported <= ASK_AFTER.times(2.0);
                 return told && load <= engine.bound * dense * self.warmth(engine);
             }
-            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
+            let strained = many && engine.processor.unwrap_or(0.0) > 1.0 && fresh(engine);
+            let own = load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room());
+            own && !strained
         };
         let mut ask = vec![];
         let probes = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") != "silent";
