--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,9 +72,7 @@
     decided: Decided,
     gateways: f64,
     residual: Residual,
-    deviations: VecDeque<[f64; 2]>,
-    /// Sums of the deviations and of their products.
-    deviated: [f64; 5],
+    deviations: Deviations,
     gamma: [f64; 2],
     gamma_steps: f64,
     gamma_at: Moment,
@@ -87,8 +85,6 @@
     group_jobs: Fading,
     /// The least time of a probe by location; rises slowly.
     probe_least: BTreeMap<usize, f64>,
-    /// Own load on all engines together, where gateways are many.
-    window: f64,
     /// Probes of pairs that may still be made.
     asks: f64,
     /// The pool is past its knee: jobs that find no engine under its bound are held.
@@ -157,7 +153,6 @@
         self.running = running.map(|(id, _)| *id).collect();
         self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
         self.orders.clear();
-        self.window = self.window.max(self.running.len() as f64 / self.gateways);
         self.place_waiting();
         self.finish()
     }
@@ -411,36 +406,18 @@
         let restarted = listing.ready_at.is_some()
             && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
         if restarted || !self.engines.contains_key(&id) {
-            let known = |name: &str| self.settings.number(&format!("Extra.{name}.{}", listing.machine));
-            let memory_mb = known("RamOfKindMb");
-            let hash = listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
-                (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
-            });
-            let cores = known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1);
-            // An equal share of less than one thread has no meaning: the bound then is the whole engine's, for all.
+            // An equal share of less than one thread has no meaning: where reports tell of all gateways' jobs and may
+            // be asked for, the bound then is the whole engine's, for all.
             let names = (0..4).map(|i| self.settings.text(&format!("Report.Names.{i}")));
-            let told =
-                self.settings.flag("Ceilings.Probes") && names.into_iter().any(|name| name == "concurrent");
-            let whole = THREADS_A_CORE * cores < self.gateways && told;
-            let share = if whole { 1.0 } else { 1.0 / self.gateways };
-            let Engine { threads, memory_out, outs, sent, .. } = self.engines.remove(&id).unwrap_or_default();
-            let engine = Engine {
-                hash,
-                cores,
-                memory_mb: memory_mb.unwrap_or(f64::INFINITY),
-                most_mb: memory_mb.unwrap_or(0.0) * self.settings.number("Extra.MostGrant").unwrap_or(1.0),
-                latency: vec![None; self.types.len()],
-                threads,
-                memory_out,
-                outs,
-                bound: share,
-                share,
-                whole,
-                heard: self.now,
-                sent,
-                listing,
-                ..Engine::default()
-            };
+            let told = names.into_iter().any(|name| name == "concurrent" || name == "load_share");
+            let before = self.engines.remove(&id).unwrap_or_default();
+            let mut engine = Engine::read(&self.settings, listing, before, self.types.len());
+            engine.heard = self.now;
+            engine.whole = told
+                && self.settings.flag("Ceilings.Probes")
+                && THREADS_A_CORE * engine.cores < self.gateways;
+            engine.share = if engine.whole { 1.0 } else { 1.0 / self.gateways };
+            engine.bound = engine.share;
             self.engines.insert(id, engine);
             self.gamma_steps = 0.0;
         } else if let Some(engine) = self.engines.get_mut(&id) {
@@ -669,9 +646,9 @@
         }
     }
 
-    /// Whether an equal share of an engine is less than one thread.
+    /// Whether bounds are whole engines' here, for all gateways together.
     fn many(&self) -> bool {
-        self.running.first().is_some_and(|e| THREADS_A_CORE * self.engines[e].cores < self.gateways)
+        self.running.first().is_some_and(|e| self.engines[e].whole)
     }
 
     fn place_after(&mut self, pause: Span) {
@@ -705,25 +682,20 @@
         // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
-        let most = || if many { self.window } else { total(|e| e.bound) };
-        let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < most());
+        let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         // Types that bill more for their work than the usual job may pass the bound.
         let usual = self.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
-        let fresh = |engine: &Engine| now - engine.reported <= ASK_AFTER.times(2.0);
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             if engine.whole {
                 let told = now - engine.reported <= ASK_AFTER.times(2.0);
                 return told && load <= engine.bound * dense * self.warmth(engine);
             }
-            let strained = many && engine.processor.unwrap_or(0.0) > 1.0 && fresh(engine);
-            let own = load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room());
-            own && !strained
+            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
         let mut ask = vec![];
-        let probes = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") != "silent";
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
         // further with each beat, and hot groups have as many engines as their traffic asks for.
         let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
@@ -741,8 +713,7 @@
             ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
         // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
-        let told = order.first().is_some_and(|e| self.engines[e].whole);
-        let first = if kind.holds { far * draw } else { hot * if told { 0.0 } else { draw } } as usize;
+        let first = if kind.holds { (far * draw) as usize } else { 0 };
         for at in first..order.len() {
             let e = order[if kind.holds { order.len() - 1 - at } else { at }];
             let engine = &self.engines[&e];
@@ -758,7 +729,7 @@
                 break;
             }
             open[tier].push(e);
-            let old = many && probes && now - engine.reported > ASK_AFTER;
+            let old = many && now - engine.reported > ASK_AFTER;
             if old
                 && (engine.probe_out
                     || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
@@ -852,37 +823,21 @@
             _ => share(engines.map(|e| e.memory_out / e.memory_mb.max(1.0))),
         };
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
-        self.deviate(e, 1.0);
-        self.deviations.push_back(e);
-        if self.deviations.len() > DEVIATIONS
-            && let Some(old) = self.deviations.pop_front()
-        {
-            self.deviate(old, -1.0);
-        }
-        let [x, y, xx, xy, yy] = self.deviated.map(|sum| sum / self.deviations.len() as f64);
+        self.deviations.push(e, DEVIATIONS);
         // A little on the diagonal keeps the covariance regular when deviations hardly vary.
-        let (a, b, d) = (xx - x * x + 1e-3, xy - x * y, yy - y * y + 1e-3);
-        let squared = (d * e[0] * e[0] - 2.0 * b * e[0] * e[1] + a * e[1] * e[1]) / (a * d - b * b);
+        let squared = self.deviations.squared_length(e, 1e-3);
         (e[0].signum() * squared.max(0.0).sqrt()).tanh()
     }
 
-    fn deviate(&mut self, [x, y]: [f64; 2], sign: f64) {
-        for (sum, term) in self.deviated.iter_mut().zip([x, y, x * x, x * y, y * y]) {
-            *sum += sign * term;
-        }
-    }
-
     /// γ steps by c/√t against the mean error since its last step.
     fn step_gamma(&mut self) {
-        if self.now - self.gamma_at < GAMMA_EVERY || self.deviations.is_empty() {
+        if self.now - self.gamma_at < GAMMA_EVERY {
             return;
         }
         self.gamma_at = self.now;
         self.gamma_steps += 1.0;
-        let n = self.deviations.len() as f64;
-        for i in 0..2 {
-            let step = GAMMA_STEP / self.gamma_steps.sqrt() * self.deviated[i] / n;
-            self.gamma[i] = (self.gamma[i] - step).clamp(0.0, 1.0);
+        for (gamma, error) in self.gamma.iter_mut().zip(self.deviations.mean()) {
+            *gamma = (*gamma - GAMMA_STEP / self.gamma_steps.sqrt() * error).clamp(0.0, 1.0);
         }
     }
 
@@ -1125,14 +1080,6 @@
                 kind.calm = Some(kind.calm.map_or(pace, follow).clamp(0.3, 2.0));
             }
         }
-        let out: f64 = self.running.iter().map(|e| load(&self.engines[e], 0.0, 0.0)).sum();
-        let equal = self.running.len() as f64 / self.gateways;
-        if pool > PACE_BAD && out > 0.5 * self.window {
-            self.window *= 0.93;
-        } else if pool < PACE_GOOD && out > 0.7 * self.window {
-            self.window *= 1.15;
-        }
-        self.window = self.window.clamp(equal * BOUND_LEAST, self.running.len() as f64 * BOUND_MOST);
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
             engine.pace.touch(now, PACE_OVER);
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,6 +199,68 @@
     pub holds: BTreeMap<u64, Moment>,
 }
 
+impl Engine {
+    /// An engine as the list and the settings describe it; what is out at it is kept from `before`.
+    pub fn read(settings: &Settings, listing: Listing, before: Engine, types: usize) -> Engine {
+        let known = |name: &str| settings.number(&format!("Extra.{name}.{}", listing.machine));
+        let memory_mb = known("RamOfKindMb");
+        let Engine { threads, memory_out, outs, sent, loads, .. } = before;
+        Engine {
+            hash: listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
+                (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
+            }),
+            cores: known("CpuOfKind").unwrap_or(listing.capacity_hint).max(0.1),
+            memory_mb: memory_mb.unwrap_or(f64::INFINITY),
+            most_mb: memory_mb.unwrap_or(0.0) * settings.number("Extra.MostGrant").unwrap_or(1.0),
+            latency: vec![None; types],
+            threads,
+            memory_out,
+            outs,
+            sent,
+            loads,
+            listing,
+            ..Engine::default()
+        }
+    }
+}
+
+/// The last deviations of the balance score, with running sums of them and of their products.
+#[derive(Default)]
+pub struct Deviations {
+    last: VecDeque<[f64; 2]>,
+    sums: [f64; 5],
+}
+
+impl Deviations {
+    pub fn push(&mut self, e: [f64; 2], most: usize) {
+        self.add(e, 1.0);
+        self.last.push_back(e);
+        if self.last.len() > most
+            && let Some(old) = self.last.pop_front()
+        {
+            self.add(old, -1.0);
+        }
+    }
+    fn add(&mut self, [x, y]: [f64; 2], sign: f64) {
+        for (sum, term) in self.sums.iter_mut().zip([x, y, x * x, x * y, y * y]) {
+            *sum += sign * term;
+        }
+    }
+    fn means(&self) -> [f64; 5] {
+        self.sums.map(|sum| sum / self.last.len().max(1) as f64)
+    }
+    pub fn mean(&self) -> [f64; 2] {
+        let [x, y, ..] = self.means();
+        [x, y]
+    }
+    /// eᵀΣ⁻¹e, Σ the covariance with `ridge` on its diagonal.
+    pub fn squared_length(&self, e: [f64; 2], ridge: f64) -> f64 {
+        let [x, y, xx, xy, yy] = self.means();
+        let (a, b, d) = (xx - x * x + ridge, xy - x * y, yy - y * y + ridge);
+        (d * e[0] * e[0] - 2.0 * b * e[0] * e[1] + a * e[1] * e[1]) / (a * d - b * b)
+    }
+}
+
 /// A dispatch that is out.
 pub struct Out {
     pub engine: usize,
