--- a/src/logic.rs
+++ b/src/logic.rs
@@ -187,7 +187,7 @@
             sla_ends: now + sla,
             cost,
             bare: cost / kind.threads,
-            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)) * kind.memory_bias.mean_or(1.0),
+            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
             job,
             ..Held::default()
         };
@@ -877,9 +877,7 @@
         match outcome.verdict {
             Verdict::Done => {
                 (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
-                if let Some((work, memory)) = outcome.bill {
-                    let told = held.job.memory_mb.unwrap_or(memory).max(1.0);
-                    kind.memory_bias.add(now, CALM_OVER, memory / told, told);
+                if let Some((work, _)) = outcome.bill {
                     kind.true_cost.add(now, RECENT, work.ms(), 1.0);
                     kind.calm = Some(1.0);
                     held.bare = work.ms() / kind.threads;
@@ -1050,7 +1048,7 @@
             };
             let (engine, noted, rank) = (out.engine, out.noted, held.rank);
             let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
-            if !self.many() && !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
+            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
                 self.see_pace(id, engine, age, 0.1);
             }
             if let Some(terms) = self.terms(id, engine).filter(|terms| terms.rank != rank) {
@@ -1083,7 +1081,9 @@
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
             engine.pace.touch(now, PACE_OVER);
-            let pace = engine.pace.mean_with(pool, PACE_PRIOR);
+            // Where reports stand still past full, an engine of which little is seen is presumed to keep the pool's pace.
+            let presumed = if engine.whole && engine.jobs.is_none() { pool } else { 1.0 };
+            let pace = engine.pace.mean_with(presumed, PACE_PRIOR);
             let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
             if pace > PACE_BAD && fill > 0.5 * engine.bound {
                 engine.bound = (engine.bound * 0.93).max(least);
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,8 +116,6 @@
     pub told_cost: Fading,
     pub true_cost: Fading,
     pub memory: Fading,
-    /// Billed over told memory.
-    pub memory_bias: Fading,
     pub latency: Option<f64>,
     pub pace: Fading,
     pub calm: Option<f64>,
