--- a/src/logic.rs
+++ b/src/logic.rs
@@ -317,7 +317,7 @@
             }
         }
         self.read_report(id, &report);
-        if self.many() {
+        if self.many() || !self.waiting.is_empty() {
             // Processor use stands still past full and falls where memory is overfull: there the probe's own time,
             // against the least from the same location, tells more.
             if let Some(engine) = self.engines.get_mut(&id).filter(|_| verdict == Verdict::Done) {
@@ -696,6 +696,8 @@
             load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
         };
         let mut ask = vec![];
+        let pulls = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") == "pull";
+        let asks = many || pulls;
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
         // further with each beat, and hot groups have as many engines as their traffic asks for.
         let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
@@ -729,7 +731,7 @@
                 break;
             }
             open[tier].push(e);
-            let old = many && now - engine.reported > ASK_AFTER;
+            let old = asks && now - engine.reported > ASK_AFTER;
             if old
                 && (engine.probe_out
                     || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
@@ -1097,17 +1099,11 @@
         if !self.settings.flag("Ceilings.Probes") {
             return;
         }
-        let pulls = self.settings.text("Report.How") == "pull";
-        // Probes cost engines work: at most one for so many jobs taken.
-        let running = self.running.len() as f64;
-        let paced = running / (PROBES_A_JOB * self.arrivals.per_second(self.now, RECENT)).max(1e-3);
-        let every = Span::from_ms((paced * 1000.0).clamp(PROBE_EVERY.ms(), PROBE_SELDOM.ms()));
-        let (now, many) = (self.now, self.many());
-        for (id, engine) in self.engines.iter_mut() {
-            let wanted = (pulls && !many) || (engine.on_trial && engine.outs == 0);
-            let due =
-                !engine.probe_out && now - engine.probed >= if engine.on_trial { PROBE_EVERY } else { every };
-            if engine.listing.stage == Stage::Running && wanted && due {
+        let now = self.now;
+        for (id, engine) in self.engines.iter_mut().filter(|(_, engine)| engine.on_trial && engine.outs == 0)
+        {
+            let due = !engine.probe_out && now - engine.probed >= PROBE_EVERY;
+            if engine.listing.stage == Stage::Running && due {
                 (engine.probe_out, engine.probed) = (true, now);
                 self.decided.probes.push(EngineId(*id as u32));
             }
