--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,6 @@
 const BEAT: Span = Span(250_000); // pace of all upkeep
 const PLACE_EVERY: Span = Span(10_000); // pace of looking at held jobs while answers come back
 const PROBE_EVERY: Span = Span(500_000);
-const PROBE_SELDOM: Span = Span(3_000_000);
 const PROBES_A_JOB: f64 = 0.25;
 const REPORT_FRESH: Span = Span(2_500_000); // older reports say nothing: the own figure stands in
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
@@ -199,7 +198,8 @@
         held.value = self.value(&held);
         self.arrivals.add(now, RECENT, cost, 1.0);
         let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
-        self.asks = (self.asks + (ASK_SPEND / price.max(1e-6)).min(4.0)).min(12.0);
+        let asks = if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB };
+        self.asks = (self.asks + asks).min(12.0);
         let (guard, bare) = (held.ends - self.guard(), Span::from_ms(held.bare));
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             self.turns.entry(key).or_default().push_back(id);
