--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,12 +76,7 @@
     gamma_steps: f64,
     gamma_at: Moment,
     arrivals: Fading,
-    /// Threads and memory of the jobs taken, weighed by how long they run: those of a job that is out somewhere.
-    usual_threads: Fading,
-    usual_memory: Fading,
-    billed: Fading,
-    groups: BTreeMap<u64, Fading>,
-    group_jobs: Fading,
+    traffic: Traffic,
     /// The least time of a probe by location; rises slowly.
     probe_least: BTreeMap<usize, f64>,
     /// Probes of pairs that may still be made.
@@ -89,8 +84,9 @@
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
     pace: Fading,
-    /// When jobs were taken and when dispatches beyond a job's first were made, for the budget.
-    budget: VecDeque<(Moment, bool)>,
+    /// Jobs taken and dispatches made beyond a job's first, for the budget.
+    taken: Recent,
+    extras: Recent,
     customers: Vec<Fading>,
 }
 
@@ -168,7 +164,7 @@
 
     pub fn take(&mut self, now: Moment, id: JobId, job: Job) -> Decided {
         self.now = now;
-        self.budget.push_back((now, false));
+        self.taken.add(now, self.span("Contract.BudgetWindow"), 1.0);
         let kind = &mut self.types[job.reservation];
         let told = job.cost.map(Span::ms);
         if let Some(told) = told {
@@ -190,11 +186,7 @@
             job,
             ..Held::default()
         };
-        self.groups.entry(held.job.group).or_default().add(now, CALM_OVER, 0.0, 1.0);
-        self.group_jobs.add(now, CALM_OVER, 0.0, 1.0);
-        self.billed.add(now, CALM_OVER, kind.billed / (cost.max(1.0) / 1000.0), cost);
-        self.usual_threads.add(now, CALM_OVER, kind.threads, held.bare);
-        self.usual_memory.add(now, CALM_OVER, held.memory * kind.grant, held.bare);
+        self.traffic.add(now, CALM_OVER, &held, kind);
         held.value = self.value(&held);
         self.arrivals.add(now, RECENT, cost, 1.0);
         let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
@@ -388,11 +380,11 @@
         if !engine.whole {
             return own;
         }
-        let usual = self.usual_threads.mean_or(1.0);
+        let usual = self.traffic.threads.mean_or(1.0);
         let told = match engine.jobs {
             Some(jobs) => {
                 let by_threads = jobs * usual / (engine.cores * THREADS_A_CORE);
-                let by_memory = jobs * self.usual_memory.mean_or(0.0) / engine.memory_mb.max(1.0);
+                let by_memory = jobs * self.traffic.memory.mean_or(0.0) / engine.memory_mb.max(1.0);
                 by_threads.max(by_memory)
             }
             None => engine.processor.unwrap_or(0.0),
@@ -488,9 +480,7 @@
             return true;
         };
         let since = self.now - Span::from_ms(window);
-        let recent = || self.budget.iter().filter(|(when, _)| *when > since);
-        let extras = recent().filter(|(_, extra)| *extra).count() as f64;
-        let jobs = recent().filter(|(_, extra)| !*extra).count() as f64;
+        let (extras, jobs) = (self.extras.since(since), self.taken.since(since));
         extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
@@ -505,8 +495,7 @@
             return f64::INFINITY;
         }
         let window = self.span("Contract.OverloadFor");
-        let recent = engine.sent.iter().filter(|(when, _)| *when > self.now - window);
-        let sent: f64 = recent.map(|(_, work)| work).sum();
+        let sent = engine.sent.since(self.now - window);
         let whole = self.contract("Contract.FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
         COLD_CARE * whole / self.gateways - sent
     }
@@ -517,40 +506,19 @@
             return false;
         }
         let terms = self.terms(id, to);
+        let (window, cold) = (self.span("Contract.BudgetWindow"), self.span("Contract.OverloadFor"));
         let held = self.jobs.get_mut(&id).expect("a job that may be sent is held");
         let kind = &self.types[held.job.reservation];
         let engine = self.engines.get_mut(&to).expect("an engine that may be sent to is known");
         if held.copies > 0 {
-            self.budget.push_back((self.now, true));
+            self.extras.add(self.now, window, 1.0);
         }
-        engine.threads += kind.threads;
         let granted = terms.map_or(0.0, |terms| terms.grant_mb);
         let memory = if granted > 0.0 { granted } else { held.memory }.min(engine.most_mb);
-        engine.memory_out += memory;
-        engine.outs += 1;
-        engine.since += kind.threads;
-        if kind.holds {
-            engine.loads.push(held.job.group);
-        }
-        if engine.on_trial {
-            engine.trial = Some(id);
-        }
-        engine.sent.push_back((self.now, usual_work(kind)));
+        engine.leaves(id, &held.job, kind, memory);
+        engine.sent.add(self.now, cold, usual_work(kind));
         let limit = held.ends - self.now;
-        let (copy, sent) = (held.copies, self.now);
-        held.out = Some(Out {
-            engine: to,
-            copy,
-            sent,
-            choice,
-            share: 0.0,
-            noted: sent,
-            recalled: false,
-            waited: false,
-            spilled: false,
-            memory,
-            next,
-        });
+        held.out = Some(Out::new(to, held.copies, self.now, choice, memory, next));
         held.copies += 1;
         held.last = Some(to);
         if let Some(terms) = terms {
@@ -684,7 +652,7 @@
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         // Types that bill more for their work than the usual job may pass the bound.
-        let usual = self.billed.mean_or(held.value);
+        let usual = self.traffic.billed.mean_or(held.value);
         let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
         let under = |engine: &Engine| {
@@ -700,8 +668,7 @@
         let asks = many || pulls;
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
         // further with each beat, and hot groups have as many engines as their traffic asks for.
-        let own = self.groups.get(&group).map_or(0.0, |own| own.weight - 1.0).max(0.0);
-        let hot = HOME * order.len() as f64 * own / (20.0 + self.group_jobs.weight);
+        let hot = HOME * order.len() as f64 * self.traffic.share_of(group, 20.0);
         let waited = (now - held.taken).ms() / ((held.sla_ends - held.taken).ms() - held.bare).max(1.0);
         let depth = if many { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
         // Where crossing locations costs, near engines come first while the pool is well.
@@ -869,13 +836,7 @@
         let Some(engine) = self.engines.get_mut(&out.engine) else {
             return;
         };
-        engine.threads = (engine.threads - kind.threads).max(0.0);
-        engine.memory_out = (engine.memory_out - out.memory).max(0.0);
-        engine.outs = engine.outs.saturating_sub(1);
-        engine.trial = engine.trial.filter(|job| *job != id);
-        if let Some(at) = engine.loads.iter().position(|group| kind.holds && *group == held.job.group) {
-            engine.loads.swap_remove(at);
-        }
+        engine.returns(id, &held.job, kind, out.memory);
         match outcome.verdict {
             Verdict::Done => {
                 (engine.heard, engine.on_trial, engine.strikes) = (now, false, 0);
@@ -1018,15 +979,7 @@
     fn beat(&mut self) {
         self.after(BEAT, |logic| logic.beat());
         let now = self.now;
-        let window = self.settings.number("Contract.BudgetWindow").map_or(Span::default(), Span::from_ms);
-        while self.budget.front().is_some_and(|(when, _)| *when <= now - window) {
-            self.budget.pop_front();
-        }
-        let cold = self.span("Contract.OverloadFor");
         for engine in self.engines.values_mut() {
-            while engine.sent.front().is_some_and(|(when, _)| *when <= now - cold) {
-                engine.sent.pop_front();
-            }
             engine.holds.retain(|_, until| *until > now);
         }
         self.step_gamma();
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,48 @@
     }
 }
 
+/// What happened within some span: kept singly, for the rules that count in a sliding window.
+#[derive(Default)]
+pub struct Recent(VecDeque<(Moment, f64)>);
+
+impl Recent {
+    /// Adds `x` and forgets what is older than `life`.
+    pub fn add(&mut self, now: Moment, life: Span, x: f64) {
+        while self.0.front().is_some_and(|(when, _)| *when <= now - life) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, x));
+    }
+    pub fn since(&self, then: Moment) -> f64 {
+        self.0.iter().filter(|(when, _)| *when > then).map(|(_, x)| x).sum()
+    }
+}
+
+/// The jobs taken of late. Threads, memory and billed value are weighed by how long the jobs run, so that they are
+/// those of a job that is out somewhere.
+#[derive(Default)]
+pub struct Traffic {
+    pub threads: Fading,
+    pub memory: Fading,
+    pub billed: Fading,
+    groups: BTreeMap<u64, Fading>,
+    jobs: Fading,
+}
+
+impl Traffic {
+    pub fn add(&mut self, now: Moment, life: Span, held: &Held, kind: &Reservation) {
+        self.threads.add(now, life, kind.threads, held.bare);
+        self.memory.add(now, life, held.memory * kind.grant, held.bare);
+        self.billed.add(now, life, kind.billed / (held.cost.max(1.0) / 1000.0), held.cost);
+        self.groups.entry(held.job.group).or_default().add(now, life, 0.0, 1.0);
+        self.jobs.add(now, life, 0.0, 1.0);
+    }
+    /// A table group's share of the other jobs, drawn towards none as if `more` had been seen.
+    pub fn share_of(&self, group: u64, more: f64) -> f64 {
+        self.groups.get(&group).map_or(0.0, |own| (own.weight - 1.0).max(0.0)) / (self.jobs.weight + more)
+    }
+}
+
 /// A permuted congruential generator (PCG-XSH-RR).
 #[derive(Default)]
 pub struct Chance(pub u64);
@@ -192,12 +234,30 @@
     pub probe_out: bool,
     pub probed: Moment,
     /// Usual work sent of late, for the cold budget.
-    pub sent: VecDeque<(Moment, f64)>,
+    pub sent: Recent,
     /// Table groups known to be held by a load, and until when that is believed.
     pub holds: BTreeMap<u64, Moment>,
 }
 
 impl Engine {
+    /// Counts a job that goes out to it, and one that comes back.
+    pub fn leaves(&mut self, id: JobId, job: &Job, kind: &Reservation, memory: f64) {
+        self.threads += kind.threads;
+        self.since += kind.threads;
+        self.memory_out += memory;
+        self.outs += 1;
+        self.loads.extend(kind.holds.then_some(job.group));
+        self.trial = self.on_trial.then_some(id);
+    }
+    pub fn returns(&mut self, id: JobId, job: &Job, kind: &Reservation, memory: f64) {
+        self.threads = (self.threads - kind.threads).max(0.0);
+        self.memory_out = (self.memory_out - memory).max(0.0);
+        self.outs = self.outs.saturating_sub(1);
+        self.trial = self.trial.filter(|job| *job != id);
+        if let Some(at) = self.loads.iter().position(|group| kind.holds && *group == job.group) {
+            self.loads.swap_remove(at);
+        }
+    }
     /// An engine as the list and the settings describe it; what is out at it is kept from `before`.
     pub fn read(settings: &Settings, listing: Listing, before: Engine, types: usize) -> Engine {
         let known = |name: &str| settings.number(&format!("Extra.{name}.{}", listing.machine));
@@ -274,6 +334,21 @@
     pub next: Next,
 }
 
+impl Out {
+    pub fn new(
+        engine: usize,
+        copy: u32,
+        sent: Moment,
+        choice: Option<Choice>,
+        memory: f64,
+        next: Next,
+    ) -> Out {
+        let (share, noted) = (0.0, sent);
+        let (recalled, waited, spilled) = (false, false, false);
+        Out { engine, copy, sent, choice, share, noted, recalled, waited, spilled, memory, next }
+    }
+}
+
 /// What the mechanism knew when it chose within a pair.
 #[derive(Clone, Copy)]
 pub struct Choice {
