--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -144,10 +144,7 @@
             "Checked" => {
                 let name = event.text("Engine")?;
                 match self.engine_numbers.get(name) {
-                    Some(&engine) => {
-                        let took = event.span("Rtt")?;
-                        self.logic.probed(now, engine, event.verdict()?, took, event.report())
-                    }
+                    Some(&engine) => self.logic.probed(now, engine, event.outcome()?),
                     None => return Ok(None),
                 }
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,7 +24,6 @@
 const RATE_SHIFT: f64 = 1.0; // b, as in the paper
 const BEAT: Span = Span(250_000); // pace of all upkeep
 const PLACE_EVERY: Span = Span(10_000); // pace of looking at held jobs while answers come back
-const PROBE_EVERY: Span = Span(500_000);
 const PROBES_A_JOB: f64 = 0.25;
 const REPORT_FRESH: Span = Span(2_500_000); // older reports say nothing: the own figure stands in
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
@@ -95,11 +94,6 @@
     kind.true_cost.mean_or(kind.told_cost.mean_or(kind.sla.ms() * kind.threads / 2.0))
 }
 
-/// Billed value for a second of the usual work of a type.
-fn usual_billed(kind: &Reservation) -> f64 {
-    kind.billed / (usual_work(kind).max(1.0) / 1000.0)
-}
-
 /// Own load on an engine with so much more: threads against two a core or memory against all there is.
 fn load(engine: &Engine, threads: f64, memory: f64) -> f64 {
     let threads = (engine.threads + threads) / (engine.cores * THREADS_A_CORE);
@@ -290,32 +284,25 @@
         self.finish()
     }
 
-    pub fn probed(
-        &mut self,
-        now: Moment,
-        engine: EngineId,
-        verdict: Verdict,
-        took: Span,
-        report: Report,
-    ) -> Decided {
+    pub fn probed(&mut self, now: Moment, engine: EngineId, outcome: Outcome) -> Decided {
         self.now = now;
         let id = engine.0 as usize;
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.probe_out = false;
-            match verdict {
+            match outcome.verdict {
                 Verdict::Done => engine.shunned_until = engine.shunned_until.min(now),
                 Verdict::Unreachable => self.shun(id),
                 _ => {}
             }
         }
-        self.read_report(id, &report);
+        self.read_report(id, &outcome.report);
         if self.many() || !self.waiting.is_empty() {
             // Processor use stands still past full and falls where memory is overfull: there the probe's own time,
             // against the least from the same location, tells more.
-            if let Some(engine) = self.engines.get_mut(&id).filter(|_| verdict == Verdict::Done) {
+            if let Some(engine) = self.engines.get_mut(&id).filter(|_| outcome.verdict == Verdict::Done) {
                 let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
-                *least = (*least * 1.0005).min(took.ms()).max(1e-3);
-                let strain = took.ms() / *least / PACE_BAD;
+                *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
+                let strain = outcome.took.ms() / *least / PACE_BAD;
                 engine.processor = engine.processor.map(|told| told.max(strain));
             }
             self.place_waiting();
@@ -419,12 +406,10 @@
 
     /// The part of its capacity that an engine has, as far as its start tells: it climbs from StartCapacity.
     fn warmth(&self, engine: &Engine) -> f64 {
-        let Some(ready) = engine.listing.ready_at else {
-            return 1.0;
-        };
-        let (start, warm) =
-            (self.contract("Contract.StartCapacity"), self.contract("Contract.WarmAfter").max(1.0));
-        (start + (1.0 - start) * (self.now - ready).ms().max(0.0) / warm).min(1.0)
+        let start = self.contract("Contract.StartCapacity");
+        let climbs =
+            |ready: Moment| (self.now - ready).ms().max(0.0) / self.contract("Contract.WarmAfter").max(1.0);
+        engine.listing.ready_at.map_or(1.0, |ready| (start + (1.0 - start) * climbs(ready)).min(1.0))
     }
 
     // ---- rules: every send passes here ---------------------------------------------------------------------
@@ -652,8 +637,8 @@
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         // Types that bill more for their work than the usual job may pass the bound.
-        let usual = self.traffic.billed.mean_or(held.value);
-        let dense = (usual_billed(kind) / usual.max(1e-9)).sqrt().clamp(1.0, 1.5);
+        let billed = kind.billed / (usual_work(kind).max(1.0) / 1000.0);
+        let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
@@ -719,12 +704,7 @@
         }
         if !ask.is_empty() {
             for e in ask {
-                let engine = self.engines.get_mut(&e).expect("an engine of the walk is known");
-                if !engine.probe_out {
-                    (engine.probe_out, engine.probed) = (true, now);
-                    self.asks -= 1.0;
-                    self.decided.probes.push(EngineId(e as u32));
-                }
+                self.asks -= if self.ask(e) { 1.0 } else { 0.0 };
             }
             self.no_room = false;
             return None;
@@ -783,14 +763,14 @@
         let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
         let engines = pair.map(|e| &self.engines[&e]);
         let fresh = |e: &Engine| self.now - e.reported < REPORT_FRESH;
-        let processor = match engines.map(|e| e.processor.filter(|_| fresh(e))) {
-            [Some(a), Some(b)] => share([a, b]),
-            _ => share(engines.map(|e| e.threads / e.cores)),
-        };
-        let memory = match engines.map(|e| e.memory.filter(|_| fresh(e))) {
+        let of = |told: fn(&Engine) -> Option<f64>, own: fn(&Engine) -> f64| match engines
+            .map(|e| told(e).filter(|_| fresh(e)))
+        {
             [Some(a), Some(b)] => share([a, b]),
-            _ => share(engines.map(|e| e.memory_out / e.memory_mb.max(1.0))),
+            _ => share(engines.map(own)),
         };
+        let processor = of(|e| e.processor, |e| e.threads / e.cores);
+        let memory = of(|e| e.memory, |e| e.memory_out / e.memory_mb.max(1.0));
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
         self.deviations.push(e, DEVIATIONS);
         // A little on the diagonal keeps the covariance regular when deviations hardly vary.
@@ -1048,18 +1028,24 @@
         }
     }
 
+    /// Probes the engines on trial.
     fn probe(&mut self) {
-        if !self.settings.flag("Ceilings.Probes") {
-            return;
-        }
-        let now = self.now;
-        for (id, engine) in self.engines.iter_mut().filter(|(_, engine)| engine.on_trial && engine.outs == 0)
-        {
-            let due = !engine.probe_out && now - engine.probed >= PROBE_EVERY;
-            if engine.listing.stage == Stage::Running && due {
-                (engine.probe_out, engine.probed) = (true, now);
-                self.decided.probes.push(EngineId(*id as u32));
+        for e in self.running.clone() {
+            let engine = &self.engines[&e];
+            let due = engine.on_trial && engine.outs == 0 && self.now - engine.probed >= ASK_AFTER;
+            if due && self.settings.flag("Ceilings.Probes") {
+                self.ask(e);
             }
         }
     }
+
+    /// Sends a probe if none is out; says whether it did.
+    fn ask(&mut self, id: usize) -> bool {
+        let engine = self.engines.get_mut(&id).filter(|engine| !engine.probe_out);
+        engine.is_some_and(|engine| {
+            (engine.probe_out, engine.probed) = (true, self.now);
+            self.decided.probes.push(EngineId(id as u32));
+            true
+        })
+    }
 }
