--- a/crates/wirehost/src/encode.rs
+++ b/crates/wirehost/src/encode.rs
@@ -29,9 +29,6 @@
             Answer::Cancelled => json!({"EndFailed": {"ManagerId": manager, "RequestId": id}}),
         });
     }
-    for (job, terms) in &decided.terms {
-        steps.push(set_terms(*job, terms));
-    }
     for dispatch in &decided.dispatches {
         if let Some(terms) = &dispatch.terms {
             steps.push(set_terms(dispatch.job, terms));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,13 +211,11 @@
     Cancelled,
 }
 
-/// All that one call decided. Recalls come first, then answers, terms, dispatches and the rest.
+/// All that one call decided. Recalls come first, then answers, dispatches and the rest.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Decided {
     pub recalls: Vec<(JobId, u32)>,
     pub answers: Vec<(JobId, Answer)>,
-    /// New terms for dispatches that are out.
-    pub terms: Vec<(JobId, Terms)>,
     pub dispatches: Vec<Dispatch>,
     pub probes: Vec<EngineId>,
     /// Ask to be kept informed of the engine list.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -506,9 +506,6 @@
         held.out = Some(Out::new(to, held.copies, self.now, choice, memory, next));
         held.copies += 1;
         held.last = Some(to);
-        if let Some(terms) = terms {
-            held.rank = terms.rank;
-        }
         self.decided.dispatches.push(Dispatch { job: id, engine: EngineId(to as u32), limit, terms });
         true
     }
@@ -969,8 +966,8 @@
         self.place_waiting();
     }
 
-    /// Looks at every dispatch that is out: late ones fall in priority, overdue ones count as strain, and an
-    /// engine from which nothing is heard though notes are due is left alone.
+    /// Looks at every dispatch that is out: overdue ones count as strain, and an engine from which nothing is heard
+    /// though notes are due is left alone.
     fn watch_outs(&mut self) {
         let now = self.now;
         let due = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
@@ -981,15 +978,11 @@
             let Some(out) = held.out.as_ref().filter(|_| !held.over) else {
                 continue;
             };
-            let (engine, noted, rank) = (out.engine, out.noted, held.rank);
+            let (engine, noted) = (out.engine, out.noted);
             let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
             if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
                 self.see_pace(id, engine, age, 0.1);
             }
-            if let Some(terms) = self.terms(id, engine).filter(|terms| terms.rank != rank) {
-                self.jobs.get_mut(&id).expect("held").rank = terms.rank;
-                self.decided.terms.push((id, terms));
-            }
             let heard = self.engines.get(&engine).map_or(now, |engine| engine.heard);
             if due.is_some_and(|due| now - noted > due && now - heard > due) {
                 self.shun(engine);
--- a/src/state.rs
+++ b/src/state.rs
@@ -377,7 +377,6 @@
     pub over: bool,
     /// It is in the line at the gateway.
     pub waits: bool,
-    pub rank: u8,
 }
 
 pub fn sigmoid(x: f64) -> f64 {
