--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,13 +106,12 @@
         let types = 0..settings.entries("Classes", "Aim");
         let types =
             types.map(|i| Reservation { grant: GRANT_START, ..Reservation::read(&settings, i) }).collect();
-        let identity = [0, 1, 2].map(|i| [0, 1, 2].map(|j| if i == j { LAMBDA } else { 0.0 }));
         let mut logic = Logic {
             now,
             chance: Chance(mix(seed)),
             types,
             gateways: settings.number("Balancers").unwrap_or(1.0).max(1.0),
-            residual: Residual { v: identity, b: [0.0; 3] },
+            residual: Residual::new(LAMBDA),
             gamma: [0.5; 2],
             gamma_at: now,
             customers: vec![Fading::default(); settings.entries("Accounts", "QuotaRps")],
@@ -128,11 +127,8 @@
 
     pub fn engines_changed(&mut self, now: Moment, complete: bool, listings: Vec<Listing>) -> Decided {
         self.now = now;
-        let mut seen = Vec::new();
-        for listing in listings {
-            seen.push(listing.engine.0 as usize);
-            self.list(listing);
-        }
+        let seen: Vec<usize> = listings.iter().map(|listing| listing.engine.0 as usize).collect();
+        listings.into_iter().for_each(|listing| self.list(listing));
         if complete {
             for (_, engine) in self.engines.iter_mut().filter(|(id, _)| !seen.contains(id)) {
                 engine.listing.stage = Stage::Gone;
@@ -160,15 +156,9 @@
         self.now = now;
         self.taken.add(now, self.span("Contract.BudgetWindow"), 1.0);
         let kind = &mut self.types[job.reservation];
-        let told = job.cost.map(Span::ms);
-        if let Some(told) = told {
-            kind.told_cost.add(now, RECENT, told, 1.0);
-        }
-        if let Some(memory) = job.memory_mb {
-            kind.memory.add(now, RECENT, memory, 1.0);
-        }
+        kind.tell(now, RECENT, &job);
         let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
-        let cost = told.map_or(usual_work(kind), |told| told * bias);
+        let cost = job.cost.map_or(usual_work(kind), |told| told.ms() * bias);
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let mut held = Held {
             taken: now,
@@ -233,20 +223,15 @@
         if let Some(held) = self.jobs.get_mut(&id)
             && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
         {
-            out.noted = now;
-            out.waited |= note == Note::WaitsForLoad;
+            out.hears(now, note);
             if let Note::Spills(missing) = note
                 && held.memory > 0.0
             {
-                out.spilled = true;
                 let kind = &mut self.types[held.job.reservation];
                 let needed = ((out.memory + missing) / held.memory).min(GRANT_MOST);
                 kind.spills += 1.0;
                 kind.grant += GRANT_UP.max(1.0 / (1.0 + kind.spills)) * (needed - kind.grant).max(0.0);
             }
-            if let Note::Share(share) = note {
-                out.share = share;
-            }
             let (to, took, known) =
                 (out.engine, (now - out.sent).ms() / out.share, out.share > 0.02 && !out.waited);
             if let Some(engine) = self.engines.get_mut(&to) {
@@ -266,9 +251,8 @@
     /// A streamed answer has begun: from here on the job is the client's.
     pub fn answer_begun(&mut self, now: Moment, id: JobId, copy: u32) -> Decided {
         self.now = now;
-        let begun = |held: &&mut Held| held.out.as_ref().is_some_and(|out| out.copy == copy);
-        if let Some(held) = self.jobs.get_mut(&id).filter(begun) {
-            held.over = true;
+        if let Some(held) = self.jobs.get_mut(&id) {
+            held.over |= held.out.as_ref().is_some_and(|out| out.copy == copy);
         }
         self.finish()
     }
@@ -639,11 +623,11 @@
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
+            let most = engine.bound * self.warmth(engine);
             if engine.whole {
-                let told = now - engine.reported <= ASK_AFTER.times(2.0);
-                return told && load <= engine.bound * dense * self.warmth(engine);
+                return now - engine.reported <= ASK_AFTER.times(2.0) && load <= most * dense;
             }
-            load <= engine.bound * self.warmth(engine) || (engine.outs == 0 && room())
+            load <= most || (engine.outs == 0 && room())
         };
         let mut ask = vec![];
         let pulls = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") == "pull";
@@ -656,10 +640,9 @@
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
-        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables.
-        // The walk ends with two engines that nothing speaks against. Else those where a load is known to hold this
-        // group come next, by a note or as one of this gateway's own, then the one just tried and, for a run-once
-        // job, those on trial; never one under suspicion.
+        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables. The
+        // walk ends with two engines that nothing speaks against; those where a load is known to hold this group come
+        // next, then the one just tried and, for a run-once job, those on trial; never one under suspicion.
         let (mut open, mut below, mut near) =
             ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
         // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
@@ -729,7 +712,8 @@
         let held = &self.jobs[&id];
         let reservation = held.job.reservation;
         let x = [1.0, (1.0 + held.cost).ln() / 10.0, (1.0 + held.memory).ln() / 10.0];
-        let s = self.speed(pair, reservation);
+        let [l1, l2] = pair.map(|engine| self.latency(engine, reservation));
+        let s = (1.0 + l1).ln() - (1.0 + l2).ln();
         let theta = self.residual.draw(SIGMA, &mut self.chance);
         let u: f64 = (0..3).map(|i| x[i] * theta[i]).sum();
         let z = (s + u).tanh();
@@ -749,12 +733,6 @@
         self.engines[&engine].latency[reservation].or(self.types[reservation].latency).unwrap_or(0.0)
     }
 
-    /// s = log(1 + l1) − log(1 + l2).
-    fn speed(&self, pair: [usize; 2], reservation: usize) -> f64 {
-        let [first, second] = pair.map(|engine| (1.0 + self.latency(engine, reservation)).ln());
-        first - second
-    }
-
     /// r = tanh(d), d the Mahalanobis length of the first engine's deviation from its target share.
     fn balance(&mut self, pair: [usize; 2]) -> f64 {
         let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
@@ -827,9 +805,8 @@
                     kind.grant = (kind.grant * GRANT_DOWN).max(1.0);
                 }
                 let usual = *kind.latency.get_or_insert(took);
-                kind.latency = Some(usual + ALPHA * (took - usual));
-                let before = engine.latency[reservation].unwrap_or(usual);
-                engine.latency[reservation] = Some(before + ALPHA * (took - before));
+                step(&mut kind.latency, usual, ALPHA, took);
+                step(&mut engine.latency[reservation], usual, ALPHA, took);
                 if let Some(Choice { pair, x, s }) = out.choice {
                     let seen = |e| if e == out.engine { took } else { self.latency(e, reservation) };
                     let delta = (1.0 + seen(pair[0])).ln() - (1.0 + seen(pair[1])).ln();
@@ -955,10 +932,6 @@
 
     fn beat(&mut self) {
         self.after(BEAT, |logic| logic.beat());
-        let now = self.now;
-        for engine in self.engines.values_mut() {
-            engine.holds.retain(|_, until| *until > now);
-        }
         self.step_gamma();
         self.step_bounds();
         self.watch_outs();
@@ -995,8 +968,7 @@
     /// do not. Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
         let now = self.now;
-        self.pace.touch(now, PACE_OVER);
-        let pool = self.pace.mean_with(1.0, PACE_PRIOR);
+        let pool = self.pace.mean_now(now, PACE_OVER, 1.0, PACE_PRIOR);
         self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
         for kind in &mut self.types {
             kind.pace.touch(now, CALM_OVER);
@@ -1008,10 +980,9 @@
         }
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
-            engine.pace.touch(now, PACE_OVER);
             // Where reports stand still past full, an engine of which little is seen is presumed to keep the pool's pace.
             let presumed = if engine.whole && engine.jobs.is_none() { pool } else { 1.0 };
-            let pace = engine.pace.mean_with(presumed, PACE_PRIOR);
+            let pace = engine.pace.mean_now(now, PACE_OVER, presumed, PACE_PRIOR);
             let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
             if pace > PACE_BAD && fill > 0.5 * engine.bound {
                 engine.bound = (engine.bound * 0.93).max(least);
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,10 @@
     pub fn mean_with(&self, prior: f64, weight: f64) -> f64 {
         (self.sum + prior * weight) / (self.weight + weight)
     }
+    pub fn mean_now(&mut self, now: Moment, life: Span, prior: f64, weight: f64) -> f64 {
+        self.touch(now, life);
+        self.mean_with(prior, weight)
+    }
     pub fn mean_or(&self, absent: f64) -> f64 {
         if self.weight > 1e-9 { self.sum / self.weight } else { absent }
     }
@@ -106,6 +110,11 @@
 }
 
 impl Residual {
+    /// Nothing learnt yet: V = λI.
+    pub fn new(lambda: f64) -> Residual {
+        let row = |i| [0, 1, 2].map(|j| if i == j { lambda } else { 0.0 });
+        Residual { v: [0, 1, 2].map(row), b: [0.0; 3] }
+    }
     pub fn learn(&mut self, x: [f64; 3], target: f64) {
         for i in 0..3 {
             (0..3).for_each(|j| self.v[i][j] += x[i] * x[j]);
@@ -167,6 +176,15 @@
 }
 
 impl Reservation {
+    /// Adds what a job is told to cost and need.
+    pub fn tell(&mut self, now: Moment, life: Span, job: &Job) {
+        if let Some(told) = job.cost {
+            self.told_cost.add(now, life, told.ms(), 1.0);
+        }
+        if let Some(memory) = job.memory_mb {
+            self.memory.add(now, life, memory, 1.0);
+        }
+    }
     pub fn read(settings: &Settings, i: usize) -> Reservation {
         let number = |name: &str| settings.number(&format!("Classes.{i}.{name}")).unwrap_or(0.0);
         let flag = |name: &str| settings.flag(&format!("Classes.{i}.{name}"));
@@ -349,6 +367,18 @@
     }
 }
 
+impl Out {
+    /// Keeps what a note says.
+    pub fn hears(&mut self, now: Moment, note: Note) {
+        self.noted = now;
+        self.waited |= note == Note::WaitsForLoad;
+        self.spilled |= matches!(note, Note::Spills(_));
+        if let Note::Share(share) = note {
+            self.share = share;
+        }
+    }
+}
+
 /// What the mechanism knew when it chose within a pair.
 #[derive(Clone, Copy)]
 pub struct Choice {
@@ -379,6 +409,12 @@
     pub waits: bool,
 }
 
+/// Moves an average by part of the way from where it is, or from `absent`, to `x`.
+pub fn step(average: &mut Option<f64>, absent: f64, part: f64, x: f64) {
+    let before = average.unwrap_or(absent);
+    *average = Some(before + part * (x - before));
+}
+
 pub fn sigmoid(x: f64) -> f64 {
     1.0 / (1.0 + (-x).exp())
 }
