--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,9 @@
     orders: BTreeMap<u64, Rc<[usize]>>,
     running: Vec<usize>,
     cores: f64,
+    /// Running engines that started not long ago, where gateways take turns at them.
+    cold: Vec<usize>,
+    started: Moment,
     jobs: BTreeMap<JobId, Held>,
     waiting: Vec<JobId>,
     placing: bool,
@@ -114,6 +117,7 @@
             residual: Residual::new(LAMBDA),
             gamma: [0.5; 2],
             gamma_at: now,
+            started: now,
             customers: vec![Fading::default(); settings.entries("Accounts", "QuotaRps")],
             settings,
             ..Logic::default()
@@ -134,9 +138,14 @@
                 engine.listing.stage = Stage::Gone;
             }
         }
-        let running = self.engines.iter().filter(|(_, engine)| engine.listing.stage == Stage::Running);
-        self.running = running.map(|(id, _)| *id).collect();
+        let runs = |(_, engine): &(&usize, &Engine)| engine.listing.stage == Stage::Running;
+        let (running, id) = (|| self.engines.iter().filter(runs), |(id, _): (&usize, &Engine)| *id);
+        self.running = running().map(id).collect();
         self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
+        self.cold = running()
+            .filter(|(_, engine)| engine.whole && engine.listing.ready_at.is_some())
+            .map(id)
+            .collect();
         self.orders.clear();
         self.place_waiting();
         self.finish()
@@ -389,10 +398,10 @@
     }
 
     /// The part of its capacity that an engine has, as far as its start tells: it climbs from StartCapacity.
-    fn warmth(&self, engine: &Engine) -> f64 {
+    fn warmth(&self, engine: &Engine, at: Moment) -> f64 {
         let start = self.contract("Contract.StartCapacity");
         let climbs =
-            |ready: Moment| (self.now - ready).ms().max(0.0) / self.contract("Contract.WarmAfter").max(1.0);
+            |ready: Moment| (at - ready).ms().max(0.0) / self.contract("Contract.WarmAfter").max(1.0);
         engine.listing.ready_at.map_or(1.0, |ready| (start + (1.0 - start) * climbs(ready)).min(1.0))
     }
 
@@ -453,20 +462,28 @@
         extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
-    /// Usual work that this gateway may still send to an engine within the window of the cold rule.
+    /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal share.
+    /// Where that is less than a job, gateways take turns, as time since the start, engine and own number say: in every
+    /// other slot of one window's length, so that no window meets two, as many gateways as heavy jobs fit share it all.
+    /// One that has just started may have forgotten what it sent, and waits.
     fn cold_budget(&self, engine: &Engine) -> f64 {
-        let Some(ready) = engine.listing.ready_at else {
+        let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
+        let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
+        let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else {
             return f64::INFINITY;
         };
-        if self.now >= ready + self.span("Contract.WarmAfter")
-            || self.contract("Contract.FallMultiple") <= 0.0
-        {
-            return f64::INFINITY;
-        }
-        let window = self.span("Contract.OverloadFor");
         let sent = engine.sent.since(self.now - window);
-        let whole = self.contract("Contract.FallMultiple") * self.warmth(engine) * engine.cores * window.ms();
-        COLD_CARE * whole / self.gateways - sent
+        let whole = |at| COLD_CARE * multiple * self.warmth(engine, at) * engine.cores * window.ms();
+        if !engine.whole {
+            return whole(self.now) / self.gateways - sent;
+        }
+        let slot = (self.now - ready).0.max(0) / window.0.max(1);
+        let whole = whole(ready + window.times(slot as f64));
+        let heaviest = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0).fold(1.0, f64::max);
+        let holders = (whole / heaviest).floor().clamp(1.0, self.gateways);
+        let turn = (mix(engine.hash ^ slot as u64) % self.gateways as u64) as f64 + self.contract("Ordinal");
+        let mine = slot % 2 == 0 && turn % self.gateways < holders && self.started + window <= self.now;
+        if mine { whole / holders - sent } else { 0.0 }
     }
 
     /// The one place from which a dispatch goes out. `next` is handed its result.
@@ -623,7 +640,7 @@
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
-            let most = engine.bound * self.warmth(engine);
+            let most = engine.bound * self.warmth(engine, now);
             if engine.whole {
                 return now - engine.reported <= ASK_AFTER.times(2.0) && load <= most * dense;
             }
@@ -648,8 +665,11 @@
         // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
         let first = if kind.holds { (far * draw) as usize } else { 0 };
-        for at in first..order.len() {
-            let e = order[if kind.holds { order.len() - 1 - at } else { at }];
+        // A cold engine that is this gateway's turn comes first: no other may send there now.
+        let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
+        let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
+        let walk = (first..order.len()).map(|at| order[if kind.holds { order.len() - 1 - at } else { at }]);
+        for e in turns.iter().copied().chain(walk.filter(|e| !turns.contains(e))) {
             let engine = &self.engines[&e];
             let tried = engine.on_trial && engine.trial.is_some();
             if engine.shunned_until.max(engine.full_until) > self.now || tried || !self.may_go_to(id, e) {
@@ -695,8 +715,9 @@
         if pair.len() < 2 && !self.tight && !many {
             pair = std::mem::take(&mut open[tier]);
             pair.retain(|e| load(&self.engines[e], 0.0, 0.0) < BOUND_MOST);
-            let busy =
-                |e: &usize| self.engines[e].threads / (self.engines[e].cores * self.warmth(&self.engines[e]));
+            let busy = |e: &usize| {
+                self.engines[e].threads / (self.engines[e].cores * self.warmth(&self.engines[e], now))
+            };
             pair.sort_by(|a, b| busy(a).total_cmp(&busy(b)));
         }
         self.no_room = no_room;
@@ -891,11 +912,8 @@
             && !out.waited
             && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
         let remaining = if out.share > 0.0 && !out.waited { age / out.share - age } else { f64::INFINITY };
-        let (time, end) = ((held.sla_ends - self.now).ms(), (held.ends - self.now).ms());
-        let rescued = fresh < time && remaining > time.max(2.0 * fresh);
-        let last = if kind.late_value > 0.0 { end } else { time };
-        let hopeless = remaining > 1.5 * last.max(0.0);
-        if !silent && (rescued || hopeless) {
+        let time = (held.sla_ends - self.now).ms();
+        if !silent && fresh < time && remaining > time.max(2.0 * fresh) {
             self.recall(id);
         }
     }
