--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,10 @@
 //! Every decision of the gateway: which job goes to which engine, when, and what is throttled.
 //!
 //! How to call it: [`Logic::new`] takes the settings and a seed; then [`Logic::engines_changed`] tells the
-//! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a dispatch
-//! fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked for. Each
-//! returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why things are
-//! decided so is told in `docs/design.md`.
+//! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a
+//! dispatch fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked
+//! for. Each returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why
+//! things are decided so is told in `docs/design.md`.
 
 use crate::interface::*;
 use crate::state::*;
@@ -54,7 +54,7 @@
     chance: Chance,
     types: Vec<Reservation>,
     engines: BTreeMap<usize, Engine>,
-    /// Each table group's order of the running engines, kept until the list changes; and these engines' cores.
+    /// Each table group's order of the running engines, kept until the list changes; and their cores.
     orders: BTreeMap<u64, Rc<[usize]>>,
     running: Vec<usize>,
     cores: f64,
@@ -89,7 +89,6 @@
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
-    customers: Vec<Fading>,
 }
 
 /// The usual work of one job of a type, in milliseconds on one thread.
@@ -118,7 +117,6 @@
             gamma: [0.5; 2],
             gamma_at: now,
             started: now,
-            customers: vec![Fading::default(); settings.entries("Accounts", "QuotaRps")],
             settings,
             ..Logic::default()
         };
@@ -127,7 +125,7 @@
         logic
     }
 
-    // ---- calls -------------------------------------------------------------------------------------------
+    // ---- calls ----------------------------------------------------------------------------------------
 
     pub fn engines_changed(&mut self, now: Moment, complete: bool, listings: Vec<Listing>) -> Decided {
         self.now = now;
@@ -169,18 +167,18 @@
         let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
         let cost = job.cost.map_or(usual_work(kind), |told| told.ms() * bias);
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
-        let mut held = Held {
+        let held = Held {
             taken: now,
             ends: now + job.left,
             sla_ends: now + sla,
             cost,
             bare: cost / kind.threads,
+            value: kind.billed / (cost.max(1.0) / 1000.0),
             memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
             job,
             ..Held::default()
         };
         self.traffic.add(now, CALM_OVER, &held, kind);
-        held.value = self.value(&held);
         self.arrivals.add(now, RECENT, cost, 1.0);
         let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
         let asks = if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB };
@@ -290,8 +288,8 @@
         }
         self.read_report(id, &outcome.report);
         if self.many() || !self.waiting.is_empty() {
-            // Processor use stands still past full and falls where memory is overfull: there the probe's own time,
-            // against the least from the same location, tells more.
+            // Processor use stands still past full and falls where memory is overfull: there the probe's own
+            // time, against the least from the same location, tells more.
             if let Some(engine) = self.engines.get_mut(&id).filter(|_| outcome.verdict == Verdict::Done) {
                 let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
                 *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
@@ -311,7 +309,7 @@
         self.finish()
     }
 
-    // ---- small parts -------------------------------------------------------------------------------------
+    // ---- small parts ----------------------------------------------------------------------------------
 
     fn finish(&mut self) -> Decided {
         self.decided.next_wake = self.later.keys().next().map(|(when, _)| *when);
@@ -340,21 +338,8 @@
         Span::from_ms(self.contract(name))
     }
 
-    /// Billed value for a second of work; a customer's jobs beyond its share count for what they then pay.
-    fn value(&mut self, held: &Held) -> f64 {
-        let mut billed = self.types[held.job.reservation].billed;
-        let quota = self.settings.number(&format!("Accounts.{}.QuotaRps", held.job.customer));
-        if let (Some(own), Some(quota)) = (self.customers.get_mut(held.job.customer), quota) {
-            own.add(self.now, RECENT, 0.0, 1.0);
-            if own.per_second(self.now, RECENT) > quota / self.gateways {
-                billed *= self.settings.number("OverShareWorth").unwrap_or(1.0);
-            }
-        }
-        billed / (held.cost.max(1.0) / 1000.0)
-    }
-
-    /// Load on an engine with so much more. Where its bound is the whole engine's, all gateways' jobs count, as its last
-    /// report told them, with what this one sent since.
+    /// Load on an engine with so much more. Where its bound is the whole engine's, all gateways' jobs count,
+    /// as its last report told them, with what this one sent since.
     fn fill(&self, engine: &Engine, threads: f64, memory: f64) -> f64 {
         let own = load(engine, threads, memory);
         if !engine.whole {
@@ -378,16 +363,15 @@
         let restarted = listing.ready_at.is_some()
             && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
         if restarted || !self.engines.contains_key(&id) {
-            // An equal share of less than one thread has no meaning: where reports tell of all gateways' jobs and may
-            // be asked for, the bound then is the whole engine's, for all.
-            let names = (0..4).map(|i| self.settings.text(&format!("Report.Names.{i}")));
-            let told = names.into_iter().any(|name| name == "concurrent" || name == "load_share");
+            // An equal share of less than one thread has no meaning: where reports tell of all gateways' jobs
+            // and may be asked for, the bound then is the whole engine's, for all.
+            let told =
+                |i| ["concurrent", "load_share"].contains(&self.settings.text(&format!("Report.Names.{i}")));
+            let asked = self.settings.flag("Ceilings.Probes") && (0..4).any(told);
             let before = self.engines.remove(&id).unwrap_or_default();
             let mut engine = Engine::read(&self.settings, listing, before, self.types.len());
             engine.heard = self.now;
-            engine.whole = told
-                && self.settings.flag("Ceilings.Probes")
-                && THREADS_A_CORE * engine.cores < self.gateways;
+            engine.whole = asked && THREADS_A_CORE * engine.cores < self.gateways;
             engine.share = if engine.whole { 1.0 } else { 1.0 / self.gateways };
             engine.bound = engine.share;
             self.engines.insert(id, engine);
@@ -405,7 +389,7 @@
         engine.listing.ready_at.map_or(1.0, |ready| (start + (1.0 - start) * climbs(ready)).min(1.0))
     }
 
-    // ---- rules: every send passes here ---------------------------------------------------------------------
+    // ---- rules: every send passes here ----------------------------------------------------------------
 
     /// The rules as far as they do not depend on the engine; `may_go_to` has the rest.
     fn may_go(&self, id: JobId) -> bool {
@@ -462,10 +446,10 @@
         extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
-    /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal share.
-    /// Where that is less than a job, gateways take turns, as time since the start, engine and own number say: in every
-    /// other slot of one window's length, so that no window meets two, as many gateways as heavy jobs fit share it all.
-    /// One that has just started may have forgotten what it sent, and waits.
+    /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal
+    /// share. Where that is less than a job, gateways take turns, as time since the start, engine and own
+    /// number say: in every other slot of one window's length, so that no window meets two, as many gateways
+    /// as heavy jobs fit share it all. One that has just started may have forgotten what it sent, and waits.
     fn cold_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
@@ -511,12 +495,13 @@
         true
     }
 
-    /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last. The
-    /// grant is the told need times what notes of spilling taught for the type, as told needs are wrong by type.
-    /// A job gets at least what goes with its threads, as far as it may need it: while threads are under the bound
-    /// all such grants fit.
+    /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last.
+    /// The grant is the told need times what notes of spilling taught for the type, as told needs are wrong
+    /// by type. A job gets at least what goes with its threads, as far as it may need it: while threads are
+    /// under the bound all such grants fit.
     fn terms(&self, id: JobId, to: usize) -> Option<Terms> {
-        let heeded = self.settings.flag("Extra.RanksHeeded") || self.settings.flag("Extra.GrantsCount");
+        let (ranks, grants) =
+            (self.settings.flag("Extra.RanksHeeded"), self.settings.flag("Extra.GrantsCount"));
         let held = &self.jobs[&id];
         let kind = &self.types[held.job.reservation];
         let rank = match () {
@@ -525,12 +510,11 @@
             _ if kind.holds => 2,
             _ => 1,
         };
-        let grants = self.settings.flag("Extra.GrantsCount");
         let engine = &self.engines[&to];
         let fits = engine.memory_mb * kind.threads / (engine.cores * THREADS_A_CORE);
         let grant = (held.memory * kind.grant).max(fits.min(held.memory * GRANT_MOST));
         let grant_mb = if grants { grant.round() } else { 0.0 };
-        heeded.then_some(Terms { rank, grant_mb })
+        (ranks || grants).then_some(Terms { rank, grant_mb })
     }
 
     /// Gives a job its final answer. It is throttled where trying again is harmless, else cancelled for good.
@@ -579,7 +563,7 @@
         self.decided.released.push(id);
     }
 
-    // ---- the ordinary path: AQD ------------------------------------------------------------------------------
+    // ---- the ordinary path: AQD -----------------------------------------------------------------------
 
     /// Sends a job to the engine that the mechanism chooses, or keeps it until one may take it.
     fn place(&mut self, id: JobId) {
@@ -630,7 +614,7 @@
         let draw = if many { self.chance.next() } else { 0.0 };
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
-        // The bound: at most this much own load, or one job on an engine with none while there is room elsewhere.
+        // At most the bound's load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
@@ -646,23 +630,21 @@
             }
             load <= most || (engine.outs == 0 && room())
         };
-        let mut ask = vec![];
         let pulls = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") == "pull";
-        let asks = many || pulls;
-        // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one engine
-        // further with each beat, and hot groups have as many engines as their traffic asks for.
+        let (mut ask, asks) = (vec![], many || pulls);
+        // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one
+        // engine further with each beat, and hot groups have as many engines as their traffic asks for.
         let hot = HOME * order.len() as f64 * self.traffic.share_of(group, 20.0);
         let waited = (now - held.taken).ms() / ((held.sla_ends - held.taken).ms() - held.bare).max(1.0);
         let depth = if many { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
-        // Loads walk the order from its far end, so that readers seldom meet the load that holds their tables. The
-        // walk ends with two engines that nothing speaks against; those where a load is known to hold this group come
-        // next, then the one just tried and, for a run-once job, those on trial; never one under suspicion.
+        // Loads walk the order from its far end, so that readers seldom meet them, and begin anywhere there
+        // where other gateways' loads can't be known in time. The walk ends with two engines that nothing
+        // speaks against; then come those where a load holds this group, the one just tried, and those on trial.
         let (mut open, mut below, mut near) =
-            ([(); 3].map(|()| Vec::new()), [(); 3].map(|()| Vec::new()), vec![]);
-        // Of other gateways' loads nothing is known in time: where these are many, loads begin anywhere in the far part.
+            (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
         let first = if kind.holds { (far * draw) as usize } else { 0 };
         // A cold engine that is this gateway's turn comes first: no other may send there now.
@@ -740,16 +722,13 @@
         let z = (s + u).tanh();
         let r = self.balance(pair);
         let rate = self.arrivals.per_second(self.now, RECENT);
-        let omega = 0.4 + 0.3 * sigmoid(rate / self.fair_rate() - RATE_SHIFT);
+        // λ0: the rate at which this gateway's equal part of the pool would be full with its usual jobs.
+        let fair = self.cores * 1000.0 / self.arrivals.mean_or(1.0).max(1.0) / self.gateways;
+        let omega = 0.4 + 0.3 * sigmoid(rate / fair.max(1e-3) - RATE_SHIFT);
         let second = omega * z + (1.0 - omega) * r > 0.0;
         (pair[usize::from(second)], Some(Choice { pair, x, s }))
     }
 
-    /// λ0: the rate at which this gateway's equal part of the pool would be full with its usual jobs.
-    fn fair_rate(&self) -> f64 {
-        (self.cores * 1000.0 / self.arrivals.mean_or(1.0).max(1.0) / self.gateways).max(1e-3)
-    }
-
     fn latency(&self, engine: usize, reservation: usize) -> f64 {
         self.engines[&engine].latency[reservation].or(self.types[reservation].latency).unwrap_or(0.0)
     }
@@ -786,7 +765,7 @@
         }
     }
 
-    // ---- what comes back ---------------------------------------------------------------------------------------
+    // ---- what comes back ------------------------------------------------------------------------------
 
     fn read_report(&mut self, id: usize, report: &Report) {
         let now = self.now;
@@ -854,8 +833,8 @@
         }
     }
 
-    /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told costs
-    /// are wrong by type, and the lowest pace of late shows by how much. Answers that bill the work make it exact.
+    /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told
+    /// costs are wrong by type, as the lowest pace of late shows. Answers that bill the work make it exact.
     fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64) {
         let held = &self.jobs[&id];
         let kind = &mut self.types[held.job.reservation];
@@ -871,8 +850,8 @@
         }
     }
 
-    /// Leaves an engine alone, twice as long if it was left alone not long ago, then puts it on trial: one job at
-    /// a time until it answers or sends a note. Meets refused and reset connections, also on and off, and silence.
+    /// Leaves an engine alone, twice as long if that was not long ago, then puts it on trial: one job at a
+    /// time until it answers or sends a note. Meets refused and reset connections, also on and off, and silence.
     fn shun(&mut self, id: usize) {
         let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.shunned_until <= self.now) else {
             return;
@@ -918,9 +897,9 @@
         }
     }
 
-    // ---- upkeep ----------------------------------------------------------------------------------------------
+    // ---- upkeep ---------------------------------------------------------------------------------------
 
-    /// Held jobs go in the order of their billed value for their work; one that would come too late is given up.
+    /// Held jobs go in the order of their billed value for their work; the late ones are given up.
     fn place_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
         let value =
@@ -928,7 +907,7 @@
         let mut waiting: Vec<(JobId, f64)> =
             waiting.into_iter().filter_map(|id| Some((id, value(id)?))).collect();
         waiting.sort_by(|a, b| b.1.total_cmp(&a.1));
-        // Where one job found no room anywhere, none of its type that needs as much will: spares a long line's work.
+        // Where a job found no room anywhere, none of its type that needs as much will: spares long lines.
         let mut no_room = vec![f64::INFINITY; self.types.len()];
         for (id, _) in waiting {
             let held = self.jobs.get_mut(&id).expect("a job that waits is held");
@@ -957,33 +936,22 @@
         self.place_waiting();
     }
 
-    /// Looks at every dispatch that is out: overdue ones count as strain, and an engine from which nothing is heard
-    /// though notes are due is left alone.
+    /// An engine from which nothing is heard though notes are due is left alone.
     fn watch_outs(&mut self) {
-        let now = self.now;
-        let due = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
-        let due = due.map(|every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
-        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
-        for id in ids {
-            let held = &self.jobs[&id];
-            let Some(out) = held.out.as_ref().filter(|_| !held.over) else {
-                continue;
-            };
-            let (engine, noted) = (out.engine, out.noted);
-            let (age, kind) = ((now - out.sent).ms(), &self.types[held.job.reservation]);
-            if !out.waited && age > PACE_BAD * kind.calm.unwrap_or(1.0) * held.bare {
-                self.see_pace(id, engine, age, 0.1);
-            }
-            let heard = self.engines.get(&engine).map_or(now, |engine| engine.heard);
-            if due.is_some_and(|due| now - noted > due && now - heard > due) {
-                self.shun(engine);
-                self.reconsider(id);
-            }
+        let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
+        let due = every.map_or(Span(i64::MAX), |every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
+        let heard = |e: usize| self.engines.get(&e).map_or(self.now, |engine| engine.heard);
+        let quiet = |out: &&Out| self.now - out.noted > due && self.now - heard(out.engine) > due;
+        let outs = self.jobs.iter().filter(|(_, held)| !held.over);
+        let outs = outs.filter_map(|(id, held)| Some((*id, held.out.as_ref().filter(quiet)?.engine)));
+        for (id, engine) in outs.collect::<Vec<(JobId, usize)>>() {
+            self.shun(engine);
+            self.reconsider(id);
         }
     }
 
-    /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when they
-    /// do not. Meets overload, slow machines and anything else that takes an engine past its knee.
+    /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when
+    /// they do not. Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
         let now = self.now;
         let pool = self.pace.mean_now(now, PACE_OVER, 1.0, PACE_PRIOR);
@@ -998,7 +966,7 @@
         }
         let fills: Vec<f64> = self.engines.values().map(|engine| self.fill(engine, 0.0, 0.0)).collect();
         for (engine, fill) in self.engines.values_mut().zip(fills) {
-            // Where reports stand still past full, an engine of which little is seen is presumed to keep the pool's pace.
+            // Where reports stand still past full, an engine little seen is presumed to keep the pool's pace.
             let presumed = if engine.whole && engine.jobs.is_none() { pool } else { 1.0 };
             let pace = engine.pace.mean_now(now, PACE_OVER, presumed, PACE_PRIOR);
             let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
-//! What the decision module remembers: plain state and arithmetic. Nothing here decides, and every tuned value
-//! is handed in by `logic.rs`.
+//! What the decision module remembers: plain state and arithmetic. Nothing here decides, and every tuned
+//! value is handed in by `logic.rs`.
 
 use crate::interface::*;
 use crate::logic::Logic;
@@ -60,8 +60,8 @@
     }
 }
 
-/// The jobs taken of late. Threads, memory and billed value are weighed by how long the jobs run, so that they are
-/// those of a job that is out somewhere.
+/// The jobs taken of late. Threads, memory and billed value are weighed by how long the jobs run, so that
+/// they are those of a job that is out somewhere.
 #[derive(Default)]
 pub struct Traffic {
     pub threads: Fading,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,5 +1,5 @@
-//! Traces of decisions, one test for the ordinary path and each rule or failure. Read them as a diary: time in
-//! milliseconds, what came in, and what was decided.
+//! Traces of decisions, one test for the ordinary path and each rule or failure. Read them as a diary: time
+//! in milliseconds, what came in, and what was decided.
 
 mod helpers;
 use expect_test::{Expect, expect};
