--- a/src/logic.rs
+++ b/src/logic.rs
@@ -642,7 +642,7 @@
         let zone = self.settings.number("Zone").unwrap_or(0.0);
         // Loads walk the order from its far end, so that readers seldom meet them, and begin anywhere there
         // where other gateways' loads can't be known in time. The walk ends with two engines that nothing
-        // speaks against; then come those where a load holds this group, the one just tried, and those on trial.
+        // speaks against; then come those where a load holds this group, the one just tried, those on trial.
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
@@ -851,7 +851,7 @@
     }
 
     /// Leaves an engine alone, twice as long if that was not long ago, then puts it on trial: one job at a
-    /// time until it answers or sends a note. Meets refused and reset connections, also on and off, and silence.
+    /// time until it answers or sends a note. Meets refused and reset connections, flapping and silence.
     fn shun(&mut self, id: usize) {
         let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.shunned_until <= self.now) else {
             return;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -414,3 +414,95 @@
     "#]],
     );
 }
+
+const MANY: [(&str, f64); 2] = [("Balancers", 40.0), ("Ceilings.Probes", 1.0)];
+
+#[test]
+fn many_gateways_probe_the_pair_and_wait_for_it_before_they_go_further() {
+    let mut desk = Desk::new(&MANY, 5);
+    desk.told = vec![2.0, 40.0, 40.0, 1.0, 40.0];
+    desk.pass(1000.0);
+    desk.take(LOOKUP, 11, None);
+    desk.pass(10.0);
+    desk.told = vec![40.0, 40.0, 40.0, 1.0, 40.0];
+    desk.take(LOOKUP, 15, None);
+    desk.pass(400.0);
+    same(desk, expect![[r#"
+        0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running]:
+        1000  take 0: probe 1, probe 3
+        1005  told 1: 40:
+        1005  told 3: 1: send 0 to 3
+        1010  take 1: probe 0
+        1015  told 0: 40: send 1 to 3
+    "#]]);
+}
+
+#[test]
+fn a_probe_that_takes_long_shows_an_engine_past_full() {
+    let mut sent = Vec::new();
+    for slow in [1.0, 4.0] {
+        let mut desk = Desk::new(&[MANY[0], MANY[1], ("Deductions.Probe", 0.01)], 4);
+        (desk.told, desk.probe_ms, desk.field) = (vec![0.2; 4], vec![slow, 1.0, 1.0, 1.0], "load_share");
+        desk.pass(1000.0);
+        for group in 0..20 {
+            desk.take(LOOKUP, group, None);
+            desk.pass(100.0);
+        }
+        sent.push(desk.sent.iter().filter(|(_, engine)| *engine == 0).count());
+    }
+    expect!["[7, 0]"].assert_eq(&format!("{sent:?}"));
+}
+
+#[test]
+fn loads_of_many_gateways_do_not_all_go_to_one_engine() {
+    let mut at = [0; 8];
+    for ordinal in 0..40 {
+        let mut desk = Desk::new(&[MANY[0], MANY[1], ("Ordinal", f64::from(ordinal))], 8);
+        desk.told = vec![0.0; 8];
+        desk.take(LOAD, 11, None);
+        at[desk.sent[0].1 as usize] += 1;
+    }
+    expect!["[3, 4, 6, 6, 6, 10, 5, 0]"].assert_eq(&format!("{at:?}"));
+}
+
+#[test]
+fn all_gateways_together_keep_a_cold_engines_budget() {
+    let mut lines = String::new();
+    for gateways in [1, 5, 30, 300] {
+        let mut sent = Vec::new();
+        for ordinal in 0..gateways {
+            let cold = [
+                ("Contract.FallMultiple", 2.0),
+                ("Contract.OverloadFor", 500.0),
+                ("Contract.StartCapacity", 0.3),
+                ("Contract.WarmAfter", 10000.0),
+                ("Balancers", f64::from(gateways)),
+                ("Ordinal", f64::from(ordinal)),
+                ("Ceilings.Probes", 1.0),
+            ];
+            let mut desk = Desk::new(&cold, 0);
+            desk.told = vec![0.0; 2];
+            desk.pass(1000.0 + f64::from(ordinal % 7));
+            desk.list(false, vec![engine(0, Stage::Running, Some(900.0))]);
+            for _ in 0..40 {
+                desk.take(LOOKUP, 11, None);
+                desk.pass(100.0);
+            }
+            sent.extend(desk.sent.iter().map(|(when, _)| *when));
+        }
+        sent.sort_by(f64::total_cmp);
+        let work = |from: f64| {
+            100.0 * sent.iter().filter(|when| (from..from + 500.0).contains(*when)).count() as f64
+        };
+        let share = |from: f64| work(from) / (2.0 * (0.3 + 0.7 * (from - 900.0) / 10000.0) * 8.0 * 500.0);
+        let most = sent.iter().map(|from| share(*from)).fold(0.0, f64::max);
+        lines += &format!("{gateways} gateways: {} jobs, at most {most:.2} of the budget\n", sent.len());
+    }
+    expect![[r#"
+        1 gateways: 16 jobs, at most 0.20 of the budget
+        5 gateways: 80 jobs, at most 0.61 of the budget
+        30 gateways: 92 jobs, at most 0.59 of the budget
+        300 gateways: 92 jobs, at most 0.59 of the budget
+    "#]]
+    .assert_eq(&lines);
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -15,6 +15,13 @@
     pub logic: Logic,
     pub now: f64,
     pub trace: String,
+    /// What probes tell of an engine's jobs in hand; none are answered without.
+    pub told: Vec<f64>,
+    pub field: &'static str,
+    /// How long a probe takes there.
+    pub probe_ms: Vec<f64>,
+    asked: Vec<EngineId>,
+    pub sent: Vec<(f64, u32)>,
     jobs: u32,
 }
 
@@ -39,8 +46,9 @@
     set(format!("Classes.{PLACED}.ConfinedTo.0"), Value::Number(1.0));
     set("Extra.CpuOfKind.0".to_string(), Value::Number(8.0));
     set("Ceilings.Cancelling".to_string(), Value::Flag(true));
+    set("Report.Names.0".to_string(), Value::Text("concurrent".to_string()));
     for (name, value) in [("Balancers", 2.0), ("Tick", 5.0), ("Ceilings.TryLimit", 4.0)].iter().chain(more) {
-        let flag = *name == "Extra.GrantsCount";
+        let flag = ["Extra.GrantsCount", "Ceilings.Probes"].contains(name);
         set(name.to_string(), if flag { Value::Flag(*value > 0.0) } else { Value::Number(*value) });
     }
     all
@@ -60,8 +68,19 @@
 
 impl Desk {
     pub fn new(more: &[(&str, f64)], engines: u32) -> Desk {
-        let logic = Logic::new(Moment::from_ms(0.0), 7, settings(more));
-        let mut desk = Desk { logic, now: 0.0, trace: String::new(), jobs: 0 };
+        let ordinal = more.iter().find(|(name, _)| *name == "Ordinal").map_or(0.0, |(_, ordinal)| *ordinal);
+        let logic = Logic::new(Moment::from_ms(0.0), 7 + ordinal as u64, settings(more));
+        let mut desk = Desk {
+            logic,
+            now: 0.0,
+            trace: String::new(),
+            told: vec![],
+            field: "concurrent",
+            probe_ms: vec![],
+            asked: vec![],
+            sent: vec![],
+            jobs: 0,
+        };
         desk.list(true, (0..engines).map(|i| engine(i, Stage::Running, None)).collect());
         desk
     }
@@ -77,6 +96,8 @@
             format!("send {} to {}{granted}", d.job.0, d.engine.0)
         }));
         parts.extend(decided.probes.iter().map(|engine| format!("probe {}", engine.0)));
+        self.sent.extend(decided.dispatches.iter().map(|dispatch| (self.now, dispatch.engine.0)));
+        self.asked.extend(&decided.probes);
         if !what.is_empty() || !parts.is_empty() {
             let line = format!("{:<5} {what}: {}", self.now, parts.join(", "));
             writeln!(self.trace, "{}", line.trim_end()).unwrap();
@@ -128,6 +149,14 @@
             self.now += 5.0;
             let decided = self.logic.wake(self.moment());
             self.note("", decided);
+            for engine in std::mem::take(&mut self.asked) {
+                let Some(jobs) = self.told.get(engine.0 as usize).copied() else { continue };
+                let took = Span::from_ms(self.probe_ms.get(engine.0 as usize).copied().unwrap_or(1.0));
+                let report = vec![(self.field.to_string(), jobs)];
+                let outcome = Outcome { verdict: Verdict::Done, took, over: false, bill: None, report };
+                let decided = self.logic.probed(self.moment(), engine, outcome);
+                self.note(&format!("told {}: {jobs}", engine.0), decided);
+            }
         }
     }
 }
