--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -427,14 +427,17 @@
     desk.told = vec![40.0, 40.0, 40.0, 1.0, 40.0];
     desk.take(LOOKUP, 15, None);
     desk.pass(400.0);
-    same(desk, expect![[r#"
+    same(
+        desk,
+        expect![[r#"
         0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running]:
         1000  take 0: probe 1, probe 3
         1005  told 1: 40:
         1005  told 3: 1: send 0 to 3
         1010  take 1: probe 0
         1015  told 0: 40: send 1 to 3
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
