An engine that held many jobs and then tells of none is presumed cold until the list says otherwise

Told by its reports: many jobs, then none. Should also hold against any restart that the list is late to tell; could hurt where an engine truly empties at once: it then gets only turns for a while.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -125,8 +125,6 @@
         logic
     }
 
-    // ---- calls ----------------------------------------------------------------------------------------
-
     pub fn engines_changed(&mut self, now: Moment, complete: bool, listings: Vec<Listing>) -> Decided {
         self.now = now;
         let seen: Vec<usize> = listings.iter().map(|listing| listing.engine.0 as usize).collect();
@@ -286,18 +284,24 @@
                 _ => {}
             }
         }
+        let before = self.engines.get(&id).and_then(|engine| engine.jobs).unwrap_or(0.0);
         self.read_report(id, &outcome.report);
-        if self.many() || !self.waiting.is_empty() {
+        let (warm_after, done) = (self.span("Contract.WarmAfter"), outcome.verdict == Verdict::Done);
+        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole && done) {
             // Processor use stands still past full and falls where memory is overfull: there the probe's own
             // time, against the least from the same location, tells more.
-            if let Some(engine) = self.engines.get_mut(&id).filter(|_| outcome.verdict == Verdict::Done) {
-                let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
-                *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
-                let strain = outcome.took.ms() / *least / PACE_BAD;
-                engine.processor = engine.processor.map(|told| told.max(strain));
+            let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
+            *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
+            let strain = outcome.took.ms() / *least / PACE_BAD;
+            engine.processor = engine.processor.map(|told| told.max(strain));
+            // Many jobs and then none: it died unseen by the list and is cold, however idle it looks.
+            let emptied = before > engine.cores / 2.0 && engine.jobs.is_some_and(|jobs| jobs < 1.0);
+            if emptied && engine.listing.ready_at.is_none_or(|ready| ready + warm_after < now) {
+                engine.listing.ready_at = Some(now);
+                self.cold.push(id);
             }
-            self.place_waiting();
         }
+        self.place_waiting();
         self.finish()
     }
 
@@ -309,8 +313,6 @@
         self.finish()
     }
 
-    // ---- small parts ----------------------------------------------------------------------------------
-
     fn finish(&mut self) -> Decided {
         self.decided.next_wake = self.later.keys().next().map(|(when, _)| *when);
         std::mem::take(&mut self.decided)
@@ -765,8 +767,6 @@
         }
     }
 
-    // ---- what comes back ------------------------------------------------------------------------------
-
     fn read_report(&mut self, id: usize, report: &Report) {
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&id) else {
@@ -897,8 +897,6 @@
         }
     }
 
-    // ---- upkeep ---------------------------------------------------------------------------------------
-
     /// Held jobs go in the order of their billed value for their work; the late ones are given up.
     fn place_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -509,3 +509,31 @@
     "#]]
     .assert_eq(&lines);
 }
+
+#[test]
+fn an_engine_that_emptied_unseen_is_presumed_cold() {
+    let cold = [
+        ("Contract.FallMultiple", 2.0),
+        ("Contract.OverloadFor", 500.0),
+        ("Contract.StartCapacity", 0.3),
+        ("Contract.WarmAfter", 10000.0),
+        MANY[0],
+        MANY[1],
+    ];
+    let mut sent = Vec::new();
+    for before in [2.0, 9.0] {
+        let mut desk = Desk::new(&cold, 2);
+        desk.told = vec![40.0, before];
+        desk.pass(1000.0);
+        desk.take(LOOKUP, 11, None);
+        desk.pass(1000.0);
+        desk.told = vec![40.0, 0.0];
+        desk.sent.clear();
+        for _ in 0..40 {
+            desk.take(LOOKUP, 11, None);
+            desk.pass(50.0);
+        }
+        sent.push(desk.sent.len());
+    }
+    expect!["[15, 5]"].assert_eq(&format!("{sent:?}"));
+}
