--- a/src/logic.rs
+++ b/src/logic.rs
@@ -288,8 +288,7 @@
         self.read_report(id, &outcome.report);
         let (warm_after, done) = (self.span("Contract.WarmAfter"), outcome.verdict == Verdict::Done);
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole && done) {
-            // Processor use stands still past full and falls where memory is overfull: there the probe's own
-            // time, against the least from the same location, tells more.
+            // Processor use stands still past full and falls past memory: the probe's own time tells more.
             let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
             *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
             let strain = outcome.took.ms() / *least / PACE_BAD;
