--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,12 +287,12 @@
         let before = self.engines.get(&id).and_then(|engine| engine.jobs).unwrap_or(0.0);
         self.read_report(id, &outcome.report);
         let (warm_after, done) = (self.span("Contract.WarmAfter"), outcome.verdict == Verdict::Done);
-        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.whole && done) {
+        let heeded = |engine: &&mut Engine| done && (engine.whole || engine.jobs.is_none());
+        if let Some(engine) = self.engines.get_mut(&id).filter(heeded) {
             // Processor use stands still past full and falls past memory: the probe's own time tells more.
             let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
             *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
-            let strain = outcome.took.ms() / *least / PACE_BAD;
-            engine.processor = engine.processor.map(|told| told.max(strain));
+            engine.processor = engine.processor.map(|told| told.max(outcome.took.ms() / *least / PACE_BAD));
             // Many jobs and then none: it died unseen by the list and is cold, however idle it looks.
             let emptied = before > engine.cores / 2.0 && engine.jobs.is_some_and(|jobs| jobs < 1.0);
             if emptied && engine.listing.ready_at.is_none_or(|ready| ready + warm_after < now) {
