--- /dev/null
+++ b/crates/server/src/desk.rs
@@ -0,0 +1,365 @@
+//! The thread that owns the module. Calls reach it through one bounded channel, in order of arrival, and
+//! each `Decided` is carried out in its order before the next call. It decides nothing.
+
+use crate::memory::budget::Budget;
+use crate::memory::engines::{Engine, Terms};
+use crate::service::clock;
+use crate::wire::bus::Event;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use pebblevane::interface::*;
+use pebblevane::logic::Logic;
+use pebblevane_door::Engines;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, PoisonError};
+
+const CALLS: usize = 8192; // calls that wait for the module
+const STEPS: usize = 32; // steps that wait for one job: more than its dispatches, recalls and answer make
+
+/// What the module's thread is asked to do.
+enum Call {
+    Take { id: JobId, job: Job, arrived: Moment, steps: Sender<Step> },
+    Settle { id: JobId, copy: u32, outcome: Outcome },
+    Progress { id: JobId, copy: u32, note: Note },
+    Begun { id: JobId, copy: u32 },
+    Gone { id: JobId },
+    Probed { engine: EngineId, outcome: Outcome },
+    Listed(Event),
+    ListLost,
+    Stopping { by: Moment },
+}
+
+/// What comes next in a job's life.
+pub enum Step {
+    Dispatch {
+        engine: Arc<Engine>,
+        copy: u32,
+        limit: Span,
+        rank: Option<u8>,
+    },
+    Recall {
+        copy: u32,
+    },
+    /// The dispatch that has just been settled is the job's answer.
+    Deliver,
+    Answer(Answer),
+    /// Nothing is out or owed any more.
+    Released,
+}
+
+/// The way to the module's thread.
+pub struct Desk {
+    calls: Sender<Call>,
+    next: Mutex<u32>,
+    /// Jobs taken and not yet released.
+    pub open: AtomicUsize,
+}
+
+impl Desk {
+    /// Starts the module's thread; the module has been told of `known` before this returns.
+    pub fn start(
+        settings: Settings,
+        seed: u64,
+        known: Vec<Event>,
+        terms: Terms,
+        sockets: Arc<Budget>,
+    ) -> std::io::Result<Arc<Desk>> {
+        let (calls, inbox) = bounded(CALLS);
+        let (ready, started) = bounded(1);
+        let desk = Arc::new(Desk { calls, next: Mutex::default(), open: AtomicUsize::new(0) });
+        let handle = desk.clone();
+        crate::thread("module", move || {
+            let names = |list: &str| -> Vec<String> {
+                let named = (0..).map(|i| settings.text(&format!("{list}.{i}")).to_string());
+                named.take_while(|name| !name.is_empty()).collect()
+            };
+            let (zones, machines) = (names("Zones"), names("Flavors"));
+            let mut owner = Owner {
+                logic: Logic::new(clock::now(), seed, settings),
+                desk: handle,
+                wake: None,
+                jobs: BTreeMap::new(),
+                numbers: Engines::default(),
+                engines: BTreeMap::new(),
+                zones,
+                machines,
+                terms,
+                sockets,
+            };
+            owner.listed_at_start(known);
+            let _ = ready.send(());
+            owner.run(&inbox);
+        })?;
+        let _ = started.recv();
+        Ok(desk)
+    }
+
+    /// Hands a job over. Jobs are numbered in the order in which the module hears of them.
+    pub fn take(&self, job: Job, arrived: Moment) -> (JobId, Receiver<Step>) {
+        let (steps, next_steps) = bounded(STEPS);
+        self.open.fetch_add(1, SeqCst);
+        let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = JobId(*next);
+        *next += 1;
+        self.call(Call::Take { id, job, arrived, steps });
+        (id, next_steps)
+    }
+    pub fn settle(&self, id: JobId, copy: u32, outcome: Outcome) {
+        self.call(Call::Settle { id, copy, outcome });
+    }
+    pub fn progress(&self, id: JobId, copy: u32, note: Note) {
+        self.call(Call::Progress { id, copy, note });
+    }
+    pub fn begun(&self, id: JobId, copy: u32) {
+        self.call(Call::Begun { id, copy });
+    }
+    pub fn gone(&self, id: JobId) {
+        self.call(Call::Gone { id });
+    }
+    pub fn listed(&self, event: Event) {
+        self.call(Call::Listed(event));
+    }
+    pub fn list_lost(&self) {
+        self.call(Call::ListLost);
+    }
+    pub fn stopping(&self, by: Moment) {
+        self.call(Call::Stopping { by });
+    }
+
+    fn call(&self, call: Call) {
+        // The module's thread ends only with the program.
+        let _ = self.calls.send(call);
+    }
+}
+
+/// What the module's thread keeps of a job.
+struct Open {
+    steps: Sender<Step>,
+    answered: bool,
+    copies: u32,
+}
+
+struct Owner {
+    logic: Logic,
+    desk: Arc<Desk>,
+    wake: Option<Moment>,
+    jobs: BTreeMap<JobId, Open>,
+    numbers: Engines,
+    engines: BTreeMap<EngineId, Known>,
+    zones: Vec<String>,
+    machines: Vec<String>,
+    terms: Terms,
+    sockets: Arc<Budget>,
+}
+
+struct Known {
+    engine: Arc<Engine>,
+    address: SocketAddr,
+    started: Option<Moment>,
+    stage: Stage,
+}
+
+impl Owner {
+    fn run(mut self, inbox: &Receiver<Call>) {
+        loop {
+            let call = match self.wake {
+                Some(wake) => inbox.recv_deadline(clock::instant(wake)),
+                None => inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            let now = clock::now();
+            match call {
+                Ok(call) => self.answer(now, call),
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            // A wake is due however many calls wait, and is caught up once.
+            if self.wake.is_some_and(|wake| wake <= now) {
+                let decided = self.logic.wake(now);
+                self.carry_out(decided);
+            }
+        }
+    }
+
+    fn answer(&mut self, now: Moment, call: Call) {
+        let decided = match call {
+            Call::Take { id, mut job, arrived, steps } => {
+                job.left = job.left + (arrived - now);
+                self.jobs.insert(id, Open { steps, answered: false, copies: 0 });
+                self.logic.take(now, id, job)
+            }
+            Call::Settle { id, copy, mut outcome } => {
+                let Some(open) = self.jobs.get_mut(&id) else { return };
+                let delivers = outcome.verdict == Verdict::Done && !open.answered;
+                open.answered |= delivers;
+                outcome.over = open.answered;
+                if delivers {
+                    open.tell(Step::Deliver);
+                }
+                self.logic.settle(now, id, copy, outcome)
+            }
+            Call::Progress { id, copy, note } => self.logic.progress(now, id, copy, note),
+            Call::Begun { id, copy } => self.logic.answer_begun(now, id, copy),
+            Call::Gone { id } => {
+                if let Some(open) = self.jobs.get_mut(&id) {
+                    open.answered = true;
+                }
+                self.logic.gone(now, id)
+            }
+            Call::Probed { engine, outcome } => self.logic.probed(now, engine, outcome),
+            Call::Listed(event) => return self.listed(now, event),
+            Call::ListLost => self.logic.list_refused(now),
+            Call::Stopping { by } => {
+                let _ = by;
+                return;
+            }
+        };
+        self.carry_out(decided);
+    }
+
+    fn carry_out(&mut self, decided: Decided) {
+        for (id, copy) in decided.recalls {
+            if let Some(open) = self.jobs.get(&id) {
+                open.tell(Step::Recall { copy });
+            }
+        }
+        for (id, answer) in decided.answers {
+            if let Some(open) = self.jobs.get_mut(&id).filter(|open| !open.answered) {
+                open.answered = true;
+                open.tell(Step::Answer(answer));
+            }
+        }
+        for dispatch in decided.dispatches {
+            let known = self.engines.get(&dispatch.engine);
+            if let Some((open, known)) = self.jobs.get_mut(&dispatch.job).zip(known) {
+                let copy = open.copies;
+                open.copies += 1;
+                let (engine, rank) = (known.engine.clone(), dispatch.terms.map(|terms| terms.rank));
+                open.tell(Step::Dispatch { engine, copy, limit: dispatch.limit, rank });
+            }
+        }
+        for engine in decided.probes {
+            self.probe(engine);
+        }
+        for line in decided.log {
+            tracing::info!("module: {line}");
+        }
+        for id in decided.released {
+            if let Some(open) = self.jobs.remove(&id) {
+                open.tell(Step::Released);
+                self.desk.open.fetch_sub(1, SeqCst);
+            }
+        }
+        self.wake = decided.next_wake;
+    }
+
+    fn probe(&mut self, id: EngineId) {
+        let (desk, sent) = (self.desk.clone(), clock::now());
+        let told = move |verdict: Verdict, report: Report| {
+            let outcome = Outcome { verdict, took: clock::now() - sent, over: false, bill: None, report };
+            desk.call(Call::Probed { engine: id, outcome });
+        };
+        let refused = match self.engines.get(&id) {
+            Some(known) => known.engine.probe(Box::new(told)).is_err(),
+            None => true,
+        };
+        if refused {
+            let took = Span::default();
+            let outcome =
+                Outcome { verdict: Verdict::TimedOut, took, over: false, bill: None, report: Report::new() };
+            let decided = self.logic.probed(clock::now(), id, outcome);
+            self.carry_out(decided);
+        }
+    }
+
+    /// The events of the start are one list for the module.
+    fn listed_at_start(&mut self, known: Vec<Event>) {
+        let mut all = BTreeMap::new();
+        for entry in known.into_iter().flat_map(|event| event.engines) {
+            all.insert(entry.name.clone(), entry);
+        }
+        let engines = all.into_values().collect();
+        self.listed(clock::now(), Event { offset: 0, complete: true, engines });
+    }
+
+    fn listed(&mut self, now: Moment, event: Event) {
+        let position = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let mut listings = Vec::with_capacity(event.engines.len());
+        let mut named = Vec::new();
+        for entry in event.engines {
+            let Ok(address) = entry.address.parse::<SocketAddr>() else {
+                tracing::warn!("event bus: engine {} has the odd address {}", entry.name, entry.address);
+                continue;
+            };
+            let id = self.numbers.number(&entry.name);
+            named.push(id);
+            if let Err(e) = self.know(id, address, entry.stage, entry.started) {
+                tracing::warn!("engine {}: no thread: {e}", entry.name);
+                continue;
+            }
+            listings.push(Listing {
+                engine: id,
+                machine: position(&self.machines, &entry.machine).unwrap_or(usize::MAX),
+                location: position(&self.zones, &entry.zone).unwrap_or(usize::MAX),
+                cell: entry.cell,
+                stage: entry.stage,
+                ready_at: entry.started,
+                capacity_hint: entry.weight,
+                name: entry.name,
+            });
+        }
+        if event.complete {
+            for (_, known) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                known.stage = Stage::Gone;
+                known.engine.gone();
+            }
+        }
+        tracing::info!(
+            "engine list: event {} with {} entries, {} engines running",
+            event.offset,
+            listings.len(),
+            self.engines.values().filter(|known| known.stage == Stage::Running).count()
+        );
+        let decided = self.logic.engines_changed(now, event.complete, listings);
+        self.carry_out(decided);
+    }
+
+    /// Keeps the handle on an engine in step with the list.
+    fn know(
+        &mut self,
+        id: EngineId,
+        address: SocketAddr,
+        stage: Stage,
+        started: Option<Moment>,
+    ) -> std::io::Result<()> {
+        let same = |known: &&mut Known| known.address == address && known.stage != Stage::Gone;
+        if let Some(known) = self.engines.get_mut(&id).filter(same) {
+            if let Some(at) = started.filter(|_| known.started != started) {
+                known.engine.restarted(at);
+            }
+            (known.started, known.stage) = (started, stage);
+        } else {
+            if let Some(old) = self.engines.remove(&id) {
+                old.engine.gone();
+            }
+            let (name, sockets) = (self.numbers.name(id), self.sockets.clone());
+            let engine = Engine::start(name, address, self.terms, sockets, clock::now)?;
+            self.engines.insert(id, Known { engine, address, started, stage });
+        }
+        let known = &self.engines[&id];
+        known.engine.open(stage == Stage::Running);
+        if stage == Stage::Gone {
+            known.engine.gone();
+        }
+        Ok(())
+    }
+}
+
+impl Open {
+    /// The channel holds more steps than a job can have; a job whose thread has ended wants none.
+    fn tell(&self, step: Step) {
+        if self.steps.try_send(step).is_err() {
+            tracing::debug!("a step for a job that has ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/job.rs
@@ -0,0 +1,172 @@
+//! A job's life, from the client's request to its answer.
+
+use crate::desk::{Desk, Step};
+use crate::memory::budget::Lease;
+use crate::memory::clients::Client;
+use crate::memory::engines::{Heard, Out, Request};
+use crate::service::clock;
+use crate::wire::client::Reply;
+use crate::wire::engine::Word;
+use crossbeam_channel::{Receiver, never, select};
+use pebblevane::interface::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest result, as the protocol says, and the pages that are asked for ahead.
+pub const LONGEST_RESULT: usize = 48_000;
+const MOST_PAGES: u32 = 4096;
+const AHEAD: u32 = 8;
+
+pub struct Life {
+    pub id: JobId,
+    pub steps: Receiver<Step>,
+    pub message: u32,
+    /// The client's own id of the job.
+    pub name: Box<str>,
+    pub class: Arc<str>,
+    pub statement: Arc<[u8]>,
+    pub client: Arc<Client>,
+    pub desk: Arc<Desk>,
+    /// The bytes that the job may keep.
+    pub lease: Lease,
+}
+
+/// A dispatch that is out.
+struct Running {
+    out: Out,
+    copy: u32,
+    sent: Moment,
+    ends: Moment,
+    result: Option<Pages>,
+}
+
+/// The result as far as its pages have come.
+struct Pages {
+    rows: Vec<u8>,
+    /// Pages that came before one with a lower number.
+    early: Vec<(u32, Vec<u8>)>,
+    next: u32,
+    asked: u32,
+    all: u32,
+    bill: Option<(Span, f64)>,
+    report: Report,
+}
+
+impl Life {
+    pub fn live(self) {
+        let mut running: Option<Running> = None;
+        let mut result = Vec::new();
+        loop {
+            let nothing = never();
+            let (words, wait) = match &running {
+                Some(running) => (&running.out.words, clock::until(running.ends)),
+                None => (&nothing, Duration::from_secs(3600)),
+            };
+            select! {
+                recv(self.steps) -> step => match step {
+                    Ok(Step::Dispatch { engine, copy, limit, rank }) => {
+                        let sent = clock::now();
+                        let (id, class) = (self.name.clone(), self.class.clone());
+                        let statement = self.statement.clone();
+                        let out = engine.send(Request { id, class, limit, rank, statement });
+                        running = Some(Running { out, copy, sent, ends: sent + limit, result: None });
+                    }
+                    Ok(Step::Recall { copy }) => {
+                        if let Some(recalled) = running.take_if(|running| running.copy == copy) {
+                            let never_left = recalled.out.withhold();
+                            let verdict = if never_left { Verdict::Unreachable } else { Verdict::Withdrawn };
+                            self.settle(recalled, verdict, None, Report::new());
+                        }
+                    }
+                    Ok(Step::Deliver) => self.client.answer(self.message, &Reply::Done(&result)),
+                    Ok(Step::Answer(Answer::Throttled(pause))) => {
+                        self.client.answer(self.message, &Reply::Throttled(pause));
+                    }
+                    Ok(Step::Answer(Answer::Cancelled)) => {
+                        self.client.answer(self.message, &Reply::Failed("cancelled"));
+                    }
+                    Ok(Step::Released) | Err(_) => return,
+                },
+                recv(words) -> heard => {
+                    let Some(mut at) = running.take() else { continue };
+                    match heard {
+                        Ok(Heard::Word(Word::Info(note))) => {
+                            note.into_iter().for_each(|note| self.desk.progress(self.id, at.copy, note));
+                            running = Some(at);
+                        }
+                        Ok(Heard::Word(Word::Hit { page, sheets, bill, report })) => {
+                            let bill = bill.map(|(work, memory)| (Span::from_ms(work), memory));
+                            at.result = Some(Pages::begin(page, sheets, bill, report));
+                            running = self.collect(at, &mut result);
+                        }
+                        Ok(Heard::Word(Word::Part { page, sheet })) => {
+                            if let Some(pages) = &mut at.result {
+                                pages.add(page, sheet);
+                            }
+                            running = self.collect(at, &mut result);
+                        }
+                        Ok(Heard::Word(Word::Shed(report))) => self.settle(at, Verdict::Full, None, report),
+                        Ok(Heard::Word(Word::Late(report))) => self.settle(at, Verdict::Void, None, report),
+                        Ok(Heard::Word(Word::Fault(report))) => self.settle(at, Verdict::Error, None, report),
+                        Ok(Heard::Lost(verdict)) => self.settle(at, verdict, None, Report::new()),
+                        Ok(Heard::Word(Word::Pong(_) | Word::Sick(_))) => running = Some(at),
+                        Err(_) => self.settle(at, Verdict::Broken, None, Report::new()),
+                    }
+                },
+                default(wait) => {
+                    if let Some(late) = running.take() {
+                        let never_left = late.out.withhold();
+                        let verdict = if never_left { Verdict::Unreachable } else { Verdict::TimedOut };
+                        self.settle(late, verdict, None, Report::new());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks for further pages, or settles the dispatch when the last one has come. A page that is missing
+    /// when the time-out comes, or one of no use, never makes a job done.
+    fn collect(&self, mut at: Running, result: &mut Vec<u8>) -> Option<Running> {
+        let Some(pages) = &mut at.result else { return Some(at) };
+        if pages.rows.len() > LONGEST_RESULT || pages.all > MOST_PAGES || pages.next > pages.all {
+            self.settle(at, Verdict::Error, None, Report::new());
+            return None;
+        }
+        if pages.next < pages.all {
+            while pages.asked < pages.all && pages.asked < pages.next + AHEAD {
+                at.out.fetch(pages.asked);
+                pages.asked += 1;
+            }
+            return Some(at);
+        }
+        *result = std::mem::take(&mut pages.rows);
+        let (bill, report) = (pages.bill, std::mem::take(&mut pages.report));
+        self.settle(at, Verdict::Done, bill, report);
+        None
+    }
+
+    /// Tells the module how the dispatch ended. What the engine still holds of it is given back first.
+    fn settle(&self, at: Running, verdict: Verdict, bill: Option<(Span, f64)>, report: Report) {
+        let (copy, took) = (at.copy, clock::now() - at.sent);
+        drop(at);
+        self.desk.settle(self.id, copy, Outcome { verdict, took, over: false, bill, report });
+    }
+}
+
+impl Pages {
+    fn begin(rows: Vec<u8>, all: u32, bill: Option<(Span, f64)>, report: Report) -> Pages {
+        Pages { rows, early: Vec::new(), next: 1, asked: 1, all: all.max(1), bill, report }
+    }
+
+    /// Takes a page that was asked for and has not come before; any other is passed over.
+    fn add(&mut self, page: Vec<u8>, sheet: u32) {
+        let wanted = (self.next..self.asked).contains(&sheet);
+        if wanted && !self.early.iter().any(|(early, _)| *early == sheet) {
+            self.early.push((sheet, page));
+        }
+        while let Some(at) = self.early.iter().position(|(sheet, _)| *sheet == self.next) {
+            self.rows.extend(self.early.swap_remove(at).1);
+            self.next += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/main.rs
@@ -0,0 +1,80 @@
+//! The workload manager: the decision module on sockets. It reads its configuration, tells the module what
+//! engines are known, listens to clients and to the event bus, and ends when it is told to.
+
+mod desk;
+mod job;
+mod memory;
+mod service;
+mod wire;
+
+use memory::budget::Budget;
+use service::config::Config;
+use service::{bus, clients, clock, stop};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+const STACK: usize = 64 * 1024;
+const SPARE_SOCKETS: usize = 48; // for the listener, the event bus, the log and what the system wants
+const JOBS: usize = 1536; // each has a thread
+const BYTES: usize = 80 * 1024 * 1024; // for statements and results of open jobs
+
+/// Starts a thread with a small stack.
+fn thread(name: &str, what: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    std::thread::Builder::new().name(name.to_string()).stack_size(STACK).spawn(what).map(drop)
+}
+
+fn main() -> ExitCode {
+    clock::now();
+    let level = std::env::var("PEBBLEVANE_LOG").ok().and_then(|level| level.parse().ok());
+    tracing_subscriber::fmt()
+        .with_max_level(level.unwrap_or(tracing::Level::INFO))
+        .with_ansi(false)
+        .with_target(false)
+        .init();
+    // A thread that panics may have left a job without an answer: the whole program ends, and says why.
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("pebblevane: {info}");
+        std::process::abort();
+    }));
+    match Config::read(|name| std::env::var(name).ok()).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(trouble) => {
+            eprintln!("pebblevane: {trouble}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(config: Config) -> Result<(), String> {
+    let cannot = |what: &'static str| move |e: std::io::Error| format!("cannot {what}: {e}");
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(cannot("wait for signals"))?;
+    let (types, terms) = (config.types(), config.terms());
+    let for_clients = config.sockets / 3;
+    let for_engines = config.sockets.saturating_sub(for_clients + SPARE_SOCKETS);
+    let sockets = Budget::new(for_engines);
+    let desk = desk::Desk::start(config.settings, config.seed, config.known, terms, sockets)
+        .map_err(cannot("start the module's thread"))?;
+    let health = Arc::new(stop::Health::default());
+    let door = Arc::new(clients::Door {
+        desk: desk.clone(),
+        health: health.clone(),
+        classes: types.iter().map(|name| name.as_str().into()).collect(),
+        types,
+        sockets: Budget::new(for_clients),
+        bytes: Budget::new(BYTES),
+        jobs: Budget::new(JOBS),
+    });
+    let listener = TcpListener::bind(config.listen)
+        .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
+    thread("clients", move || clients::accept(&door, &listener)).map_err(cannot("start a thread"))?;
+    let (follower, address, offset, seed) = (desk.clone(), config.bus, config.offset, config.seed);
+    thread("event bus", move || bus::follow(&follower, address, offset, seed))
+        .map_err(cannot("start a thread"))?;
+    tracing::info!("{} listens on {}", config.name, config.listen);
+    signals.forever().next();
+    stop::drain(&desk, &health);
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/memory/engines.rs
@@ -0,0 +1,557 @@
+//! Engines and their connections. A thread for each engine owns all connections to it and knows what is out
+//! on each. Connecting, reading and writing have threads of their own, so that the owner never waits for a
+//! socket.
+
+use super::budget::{Budget, Lease};
+use crate::wire::engine::{self as wire, Word};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use pebblevane::interface::*;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering::SeqCst};
+use std::time::{Duration, Instant};
+
+const ORDERS: usize = 4096; // orders that wait for an engine's owner
+const LINES: usize = 512; // lines that wait for one connection's writer
+const WORDS: usize = 32; // words of an engine that wait for one job
+const CONNECTIONS: usize = 24; // to one engine
+const SPENT: usize = 2048; // ids that one connection remembers as used up
+const SWEEP: Duration = Duration::from_secs(1); // pace of looking for idle connections
+
+/// What the settings say of connections.
+#[derive(Clone, Copy)]
+pub struct Terms {
+    pub streams: usize,
+    pub dial: Duration,
+    pub idle: Duration,
+    /// Probes ask for a load report.
+    pub reports: bool,
+}
+
+/// Whether a dispatch has left this program: the last check before its first byte goes out.
+#[derive(Default)]
+struct Gate(AtomicU8);
+
+const QUEUED: u8 = 0;
+const SENT: u8 = 1;
+const DROPPED: u8 = 2;
+
+impl Gate {
+    /// Says whether it was the one to change it.
+    fn pass(&self, to: u8) -> bool {
+        self.0.compare_exchange(QUEUED, to, SeqCst, SeqCst).is_ok()
+    }
+}
+
+/// What a job hears of its dispatch.
+#[derive(Debug)]
+pub enum Heard {
+    Word(Word),
+    /// The dispatch ended with its connection, or never had one.
+    Lost(Verdict),
+}
+
+/// A dispatch as the engine is to read it.
+pub struct Request {
+    pub id: Box<str>,
+    pub class: Arc<str>,
+    pub limit: Span,
+    pub rank: Option<u8>,
+    pub statement: Arc<[u8]>,
+}
+
+type Probed = Box<dyn FnOnce(Verdict, Report) + Send>;
+
+enum Order {
+    Send { number: u64, request: Request, gate: Arc<Gate>, words: Sender<Heard> },
+    Probe { number: u64, told: Probed },
+    Fetch { number: u64, page: u32 },
+    GiveUp { number: u64 },
+    Barred { number: u64 },
+    Dialed(Result<(TcpStream, Lease), String>),
+    Heard { connection: u64, id: String, word: Word },
+    Lost { connection: u64, why: String },
+    Restarted(Moment),
+    Gone,
+}
+
+/// The handle on an engine's owner.
+pub struct Engine {
+    orders: Sender<Order>,
+    open: Arc<AtomicBool>,
+    numbers: AtomicU64,
+}
+
+/// A job's handle on its dispatch. Dropping it gives the dispatch up, or ends what the engine holds of it.
+pub struct Out {
+    number: u64,
+    engine: Arc<Engine>,
+    gate: Arc<Gate>,
+    pub words: Receiver<Heard>,
+}
+
+impl Engine {
+    pub fn start(
+        name: &str,
+        address: SocketAddr,
+        terms: Terms,
+        sockets: Arc<Budget>,
+        now: fn() -> Moment,
+    ) -> std::io::Result<Arc<Engine>> {
+        let (orders, inbox) = bounded(ORDERS);
+        let open = Arc::new(AtomicBool::new(true));
+        let owner = Owner {
+            name: name.to_string(),
+            address,
+            terms,
+            sockets,
+            now,
+            me: orders.clone(),
+            open: open.clone(),
+            outs: HashMap::new(),
+            waiting: VecDeque::new(),
+            dialing: 0,
+            connections: BTreeMap::new(),
+            opened: 0,
+            gone: false,
+        };
+        crate::thread(&format!("engine {name}"), move || owner.run(&inbox))?;
+        Ok(Arc::new(Engine { orders, open, numbers: AtomicU64::new(0) }))
+    }
+
+    /// Whether dispatches may leave; one that still waits then never does.
+    pub fn open(&self, open: bool) {
+        self.open.store(open, SeqCst);
+    }
+
+    pub fn send(self: &Arc<Self>, request: Request) -> Out {
+        let (words, heard) = bounded(WORDS);
+        let (number, gate) = (self.numbers.fetch_add(1, SeqCst), Arc::new(Gate::default()));
+        let order = Order::Send { number, request, gate: gate.clone(), words: words.clone() };
+        if self.orders.send(order).is_err() {
+            let _ = words.try_send(Heard::Lost(Verdict::Unreachable));
+        }
+        Out { number, engine: self.clone(), gate, words: heard }
+    }
+
+    /// Sends a probe; `told` is handed its result, or given back if the engine's owner can't take it.
+    pub fn probe(&self, told: Probed) -> Result<(), Probed> {
+        let number = self.numbers.fetch_add(1, SeqCst);
+        self.orders.try_send(Order::Probe { number, told }).map_err(|refused| match refused.into_inner() {
+            Order::Probe { told, .. } => told,
+            _ => Box::new(|_, _| {}),
+        })
+    }
+
+    /// The engine has started anew: connections from before are dead.
+    pub fn restarted(&self, at: Moment) {
+        let _ = self.orders.try_send(Order::Restarted(at));
+    }
+
+    pub fn gone(&self) {
+        self.open(false);
+        let _ = self.orders.try_send(Order::Gone);
+    }
+}
+
+impl Out {
+    pub fn fetch(&self, page: u32) {
+        let _ = self.engine.orders.send(Order::Fetch { number: self.number, page });
+    }
+    /// Keeps it from leaving if it has not yet; says whether that came in time.
+    pub fn withhold(&self) -> bool {
+        self.gate.pass(DROPPED) || self.gate.0.load(SeqCst) == DROPPED
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        self.withhold();
+        let _ = self.engine.orders.send(Order::GiveUp { number: self.number });
+    }
+}
+
+struct Owner {
+    name: String,
+    address: SocketAddr,
+    terms: Terms,
+    sockets: Arc<Budget>,
+    now: fn() -> Moment,
+    me: Sender<Order>,
+    open: Arc<AtomicBool>,
+    outs: HashMap<u64, Entry>,
+    /// What waits for a connection, in turn.
+    waiting: VecDeque<u64>,
+    dialing: usize,
+    connections: BTreeMap<u64, Connection>,
+    opened: u64,
+    gone: bool,
+}
+
+/// A dispatch or probe that is out or waits for a connection.
+struct Entry {
+    what: What,
+    id: Box<str>,
+    connection: Option<u64>,
+    /// The engine's good end has come; only pages are out.
+    headed: bool,
+    due: Instant,
+}
+
+enum What {
+    Dispatch { request: Request, gate: Arc<Gate>, words: Sender<Heard> },
+    Probe(Option<Probed>),
+}
+
+struct Connection {
+    stream: Arc<TcpStream>,
+    lines: Sender<Line>,
+    ids: HashMap<Box<str>, u64>,
+    /// Ids that were given up here: a late answer may still come under them.
+    spent: HashSet<Box<str>>,
+    idle_since: Instant,
+    opened: Moment,
+    _lease: Lease,
+}
+
+struct Line {
+    bytes: Vec<u8>,
+    /// Set for a dispatch: checked at the write.
+    gate: Option<(u64, Arc<Gate>)>,
+}
+
+impl Owner {
+    fn run(mut self, inbox: &Receiver<Order>) {
+        let mut sweep = Instant::now() + SWEEP;
+        while !(self.gone && self.outs.is_empty()) {
+            let due = self.outs.values().filter(|entry| entry.times_out()).map(|entry| entry.due).min();
+            let due = due.map_or(sweep, |due| due.min(sweep));
+            match inbox.recv_deadline(due) {
+                Ok(order) => self.carry_out(order),
+                Err(RecvTimeoutError::Timeout) => self.time_out(),
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            if Instant::now() >= sweep {
+                sweep = Instant::now() + SWEEP;
+                self.drop_idle();
+            }
+        }
+        for connection in self.connections.values() {
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+        // What was ordered meanwhile finds nobody.
+        while let Ok(order) = inbox.try_recv() {
+            self.carry_out(order);
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Send { number, request, gate, words } => {
+                let id = request.id.clone();
+                self.enter(number, id, What::Dispatch { request, gate, words });
+            }
+            Order::Probe { number, told } => {
+                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)));
+            }
+            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page)),
+            Order::GiveUp { number } => self.give_up(number),
+            Order::Barred { number } => self.lose(number),
+            Order::Dialed(dialed) => self.dialed(dialed),
+            Order::Heard { connection, id, word } => self.heard(connection, &id, word),
+            Order::Lost { connection, why } => self.lost(connection, &why),
+            Order::Restarted(at) => {
+                let old = self.connections.iter().filter(|(_, connection)| connection.opened < at);
+                for connection in old.map(|(number, _)| *number).collect::<Vec<u64>>() {
+                    self.lost(connection, "the engine started anew");
+                }
+            }
+            Order::Gone => self.gone = true,
+        }
+    }
+
+    fn enter(&mut self, number: u64, id: Box<str>, what: What) {
+        let due = Instant::now() + self.terms.dial;
+        self.outs.insert(number, Entry { what, id, connection: None, headed: false, due });
+        if !self.assign(number) {
+            self.waiting.push_back(number);
+            self.dial();
+        }
+    }
+
+    /// Puts it on a connection with a free stream on which no late answer can be taken for its own.
+    fn assign(&mut self, number: u64) -> bool {
+        let Some(entry) = self.outs.get_mut(&number) else { return true };
+        let (streams, idle) = (self.terms.streams, self.terms.idle);
+        let free = self.connections.iter_mut().find(|(_, connection)| {
+            connection.ids.len() < streams
+                && !connection.spent.contains(&entry.id)
+                && !connection.ids.contains_key(&entry.id)
+                && (!connection.ids.is_empty() || connection.idle_since.elapsed() < idle)
+        });
+        let Some((&key, connection)) = free else { return false };
+        let line = match &entry.what {
+            What::Dispatch { request, gate, .. } => Line {
+                bytes: wire::request(
+                    &request.id,
+                    &request.class,
+                    (request.limit.ms().floor() as i64).max(1),
+                    request.rank,
+                    &request.statement,
+                ),
+                gate: Some((number, gate.clone())),
+            },
+            What::Probe(_) => Line { bytes: wire::probe(&entry.id, self.terms.reports), gate: None },
+        };
+        connection.ids.insert(entry.id.clone(), number);
+        entry.connection = Some(key);
+        if connection.lines.try_send(line).is_err() {
+            self.lost(key, "its lines pile up");
+        }
+        true
+    }
+
+    fn dial(&mut self) {
+        let wanted = self.waiting.len().div_ceil(self.terms.streams);
+        while self.dialing < wanted && self.connections.len() + self.dialing < CONNECTIONS {
+            let Some(lease) = self.sockets.lease(1) else { return };
+            let (address, dial, me) = (self.address, self.terms.dial, self.me.clone());
+            let dialed = crate::thread(&format!("dial {}", self.name), move || {
+                let stream = TcpStream::connect_timeout(&address, dial);
+                let _ =
+                    me.send(Order::Dialed(stream.map(|stream| (stream, lease)).map_err(|e| e.to_string())));
+            });
+            match dialed {
+                Ok(()) => self.dialing += 1,
+                Err(e) => return tracing::warn!("engine {}: no thread to connect with: {e}", self.name),
+            }
+        }
+    }
+
+    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>) {
+        self.dialing -= 1;
+        let connected = dialed.and_then(|(stream, lease)| {
+            self.connect(stream, lease).map_err(|e| format!("no thread for a connection: {e}"))
+        });
+        if let Err(why) = connected {
+            tracing::info!("engine {}: cannot connect: {why}", self.name);
+            if self.dialing == 0 {
+                std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
+            }
+            return;
+        }
+        while let Some(number) = self.waiting.pop_front() {
+            if !self.assign(number) {
+                self.waiting.push_front(number);
+                break;
+            }
+        }
+        self.dial();
+    }
+
+    fn connect(&mut self, stream: TcpStream, lease: Lease) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let stream = Arc::new(stream);
+        self.opened += 1;
+        let (connection, (lines, to_write)) = (self.opened, bounded::<Line>(LINES));
+        let (from, me) = (stream.clone(), self.me.clone());
+        crate::thread(&format!("from {}", self.name), move || {
+            let mut from = BufReader::with_capacity(8 * 1024, &*from);
+            let why = loop {
+                match wire::read(&mut from) {
+                    Ok(Some((id, word))) => {
+                        if me.send(Order::Heard { connection, id, word }).is_err() {
+                            return;
+                        }
+                    }
+                    Ok(None) => break "the engine closed it".to_string(),
+                    Err(e) => break e.to_string(),
+                }
+            };
+            let _ = me.send(Order::Lost { connection, why });
+        })?;
+        let (to, me, open) = (stream.clone(), self.me.clone(), self.open.clone());
+        crate::thread(&format!("to {}", self.name), move || write_lines(&to, &to_write, &me, &open))?;
+        let connection = Connection {
+            stream,
+            lines,
+            ids: HashMap::new(),
+            spent: HashSet::new(),
+            idle_since: Instant::now(),
+            opened: (self.now)(),
+            _lease: lease,
+        };
+        self.connections.insert(self.opened, connection);
+        Ok(())
+    }
+
+    fn heard(&mut self, connection: u64, id: &str, word: Word) {
+        let found = self.connections.get(&connection).and_then(|connection| connection.ids.get(id)).copied();
+        let Some(number) = found else {
+            tracing::debug!("engine {}: a late or unknown answer to {}", self.name, id.escape_debug());
+            return;
+        };
+        let Some(entry) = self.outs.get_mut(&number) else { return };
+        match &mut entry.what {
+            What::Probe(told) => {
+                let (verdict, report) = match word {
+                    Word::Pong(report) => (Verdict::Done, report),
+                    Word::Sick(report) | Word::Fault(report) => (Verdict::Error, report),
+                    Word::Shed(report) => (Verdict::Full, report),
+                    _ => return,
+                };
+                if let Some(told) = told.take() {
+                    told(verdict, report);
+                }
+                self.leave(number, false);
+            }
+            What::Dispatch { words, .. } => {
+                let ends = match &word {
+                    Word::Hit { sheets, .. } => {
+                        if std::mem::replace(&mut entry.headed, true) {
+                            return tracing::debug!("engine {}: a second end of {id}", self.name);
+                        }
+                        *sheets <= 1
+                    }
+                    Word::Info(None) => return,
+                    Word::Info(_) | Word::Part { .. } => false,
+                    _ => true,
+                };
+                let done = matches!(word, Word::Hit { .. });
+                // A job that can't keep up with a flood of notes misses some; its own time-out ends it.
+                if let Err(TrySendError::Full(_)) = words.try_send(Heard::Word(word)) {
+                    tracing::debug!("engine {}: too many words on {id}", self.name);
+                }
+                if ends {
+                    self.leave(number, !done);
+                }
+            }
+        }
+    }
+
+    /// Takes it off its connection. An id that ended otherwise than well is not used there again.
+    fn leave(&mut self, number: u64, spent: bool) -> Option<Entry> {
+        let entry = self.outs.remove(&number)?;
+        match entry.connection.and_then(|connection| self.connections.get_mut(&connection)) {
+            Some(connection) => {
+                connection.ids.remove(&entry.id);
+                connection.idle_since = Instant::now();
+                if spent && connection.spent.len() < SPENT {
+                    connection.spent.insert(entry.id.clone());
+                }
+            }
+            None => self.waiting.retain(|waits| *waits != number),
+        }
+        Some(entry)
+    }
+
+    /// The job no longer wants it.
+    fn give_up(&mut self, number: u64) {
+        let Some(Entry { connection: Some(_), what, headed, .. }) = self.outs.get(&number) else {
+            return drop(self.leave(number, false));
+        };
+        let left = match what {
+            What::Dispatch { gate, .. } => gate.0.load(SeqCst) != DROPPED,
+            What::Probe(_) => false,
+        };
+        if left {
+            let end = if *headed { wire::end } else { wire::stop };
+            self.plain(number, end);
+        }
+        self.leave(number, left);
+    }
+
+    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>) {
+        let Some(entry) = self.outs.get(&number) else { return };
+        let Some(key) = entry.connection else { return };
+        let Some(connection) = self.connections.get(&key) else { return };
+        if connection.lines.try_send(Line { bytes: line(&entry.id), gate: None }).is_err() {
+            self.lost(key, "its lines pile up");
+        }
+    }
+
+    /// It ends with its connection, or without ever having had one.
+    fn lose(&mut self, number: u64) {
+        let Some(entry) = self.leave(number, true) else { return };
+        match entry.what {
+            What::Dispatch { gate, words, .. } => {
+                let never_left = gate.pass(DROPPED) || gate.0.load(SeqCst) == DROPPED;
+                let verdict = if never_left { Verdict::Unreachable } else { Verdict::Broken };
+                let _ = words.try_send(Heard::Lost(verdict));
+            }
+            What::Probe(told) => {
+                let verdict = if entry.connection.is_some() { Verdict::Broken } else { Verdict::Unreachable };
+                told.into_iter().for_each(|told| told(verdict, Report::new()));
+            }
+        }
+    }
+
+    fn lost(&mut self, connection: u64, why: &str) {
+        let Some(connection) = self.connections.remove(&connection) else { return };
+        let _ = connection.stream.shutdown(Shutdown::Both);
+        if !connection.ids.is_empty() {
+            tracing::info!(
+                "engine {}: lost a connection with {} open: {why}",
+                self.name,
+                connection.ids.len()
+            );
+        }
+        let mut numbers: Vec<u64> = connection.ids.into_values().collect();
+        numbers.sort_unstable();
+        numbers.into_iter().for_each(|number| self.lose(number));
+    }
+
+    fn time_out(&mut self) {
+        let now = Instant::now();
+        let late = self.outs.iter().filter(|(_, entry)| entry.times_out() && entry.due <= now);
+        for number in late.map(|(number, _)| *number).collect::<Vec<u64>>() {
+            let entry = self.outs.get_mut(&number).expect("it was found just now");
+            match &mut entry.what {
+                What::Probe(told) if entry.connection.is_some() => {
+                    told.take().into_iter().for_each(|told| told(Verdict::TimedOut, Report::new()));
+                    self.leave(number, true);
+                }
+                _ => self.lose(number),
+            }
+        }
+    }
+
+    fn drop_idle(&mut self) {
+        let idle = self.terms.idle;
+        self.connections.retain(|_, connection| {
+            let keep = !connection.ids.is_empty() || connection.idle_since.elapsed() < idle;
+            if !keep {
+                let _ = connection.stream.shutdown(Shutdown::Both);
+            }
+            keep
+        });
+    }
+}
+
+impl Entry {
+    /// Waiting for a connection has an end, and so has a probe; the time-out of a dispatch is the job's.
+    fn times_out(&self) -> bool {
+        self.connection.is_none() || matches!(self.what, What::Probe(_))
+    }
+}
+
+fn write_lines(to: &TcpStream, lines: &Receiver<Line>, me: &Sender<Order>, open: &AtomicBool) {
+    for line in lines {
+        if let Some((number, gate)) = &line.gate {
+            if !open.load(SeqCst) && gate.pass(DROPPED) {
+                let _ = me.send(Order::Barred { number: *number });
+            }
+            if !gate.pass(SENT) {
+                continue;
+            }
+        }
+        let mut to = to;
+        if to.write_all(&line.bytes).is_err() {
+            // The reader sees the end and reports it.
+            let _ = to.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/memory/mod.rs
@@ -0,0 +1,6 @@
+//! What is kept in memory: byte and descriptor budgets, client connections and their open jobs, engines and
+//! their connections. Each has one owner and one place that gives it back.
+
+pub mod budget;
+pub mod clients;
+pub mod engines;
--- /dev/null
+++ b/crates/server/src/service/config.rs
@@ -0,0 +1,82 @@
+//! The configuration, checked before anything starts.
+
+use crate::memory::engines::Terms;
+use crate::wire::bus::{self, Event};
+use pebblevane::interface::Settings;
+use pebblevane_door::{Fields, Told, settings};
+use serde_json::Value as Json;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub bus: SocketAddr,
+    /// The number of the last event that `known` holds.
+    pub offset: u64,
+    pub known: Vec<Event>,
+    pub settings: Settings,
+}
+
+impl Config {
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Told<Config> {
+        let path = var("NODE_CONFIG").ok_or("NODE_CONFIG is not set, the path of a file is wanted")?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: cannot read {path}: {e}"))?;
+        let json: Json = serde_json::from_str(&text).map_err(|e| format!("configuration: not JSON: {e}"))?;
+        let fields = Fields { name: "configuration", json: &json };
+        let address = |of: &str, field: &str, told: &str| {
+            told.parse()
+                .map_err(|_| format!("{of}: field {field} is {told:?}, an address with a port is wanted"))
+        };
+        let listen = match var("NODE_LISTEN") {
+            Some(told) => address("environment", "NODE_LISTEN", &told)?,
+            None => address("configuration", "listen", fields.text("listen")?)?,
+        };
+        let known = fields.object("known")?;
+        let events = known.list("batch")?.iter().map(bus::event);
+        let events =
+            events.collect::<Told<_>>().map_err(|why| format!("configuration: field known: {why}"))?;
+        let limits = fields.object("limits")?;
+        let flat = settings(fields.object("settings")?.json);
+        if flat.entries("Classes", "Name") == 0 || flat.entries("Classes", "Aim") == 0 {
+            return Err("settings: field Classes is missing or empty, reservation types are wanted".into());
+        }
+        let seed = fields.text("seed")?;
+        Ok(Config {
+            name: match var("NODE_NAME") {
+                Some(name) => name,
+                None => fields.text("name")?.to_string(),
+            },
+            listen,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| fields.wrong("seed", "a hexadecimal number"))?,
+            sockets: limits.whole("sockets")? as usize,
+            bus: address("configuration", "bus", fields.text("bus")?)?,
+            offset: known.whole("offset")?,
+            known: events,
+            settings: flat,
+        })
+    }
+
+    pub fn types(&self) -> Vec<String> {
+        let types = 0..self.settings.entries("Classes", "Name");
+        types.map(|i| self.settings.text(&format!("Classes.{i}.Name")).to_string()).collect()
+    }
+
+    /// How connections to engines are kept. One that has been idle nearly as long as engines allow is not
+    /// used again, since its end may be under way.
+    pub fn terms(&self) -> Terms {
+        let span = |name: &str, absent: f64| {
+            let told = self.settings.number(name).filter(|ms| *ms > 0.0).unwrap_or(absent);
+            Duration::from_micros((told * 1000.0) as u64)
+        };
+        Terms {
+            streams: self.settings.number("Ceilings.StreamsPerConn").unwrap_or(32.0).max(1.0) as usize,
+            dial: span("Ceilings.DialTimeout", 250.0),
+            idle: span("Ceilings.ConnIdle", 15_000.0) * 3 / 4,
+            reports: self.settings.text("Report.How") == "pull",
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/service/mod.rs
@@ -0,0 +1,7 @@
+//! Configuration, start, drain and stop, and the threads that listen to clients and to the event bus.
+
+pub mod bus;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod stop;
--- /dev/null
+++ b/crates/server/src/service/stop.rs
@@ -0,0 +1,35 @@
+//! A planned stop: not well at once, but serving on until all that was taken has its answer.
+
+use crate::desk::Desk;
+use crate::service::clock;
+use pebblevane::interface::Span;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::time::Duration;
+
+const COMING: Span = Span(1_000_000); // new jobs may still come for so long after the signal
+const ANSWERED: Span = Span(3_400_000); // by then every job has its answer: a kill may follow soon after
+const LINGER: Duration = Duration::from_millis(200); // for the last answers to leave
+
+#[derive(Default)]
+pub struct Health {
+    stopping: AtomicBool,
+}
+
+impl Health {
+    pub fn is_well(&self) -> bool {
+        !self.stopping.load(SeqCst)
+    }
+}
+
+/// Returns when the program may end.
+pub fn drain(desk: &Desk, health: &Health) {
+    let told = clock::now();
+    health.stopping.store(true, SeqCst);
+    desk.stopping(told + ANSWERED);
+    tracing::info!("stopping with {} jobs open", desk.open.load(SeqCst));
+    while clock::now() < told + COMING || (desk.open.load(SeqCst) > 0 && clock::now() < told + ANSWERED) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(LINGER);
+    tracing::info!("stopped with {} jobs open", desk.open.load(SeqCst));
+}
--- /dev/null
+++ b/crates/server/src/wire/bus.rs
@@ -0,0 +1,73 @@
+//! The lines of the event bus: numbered changes of the engine list, and a heartbeat.
+
+use pebblevane::interface::{Moment, Stage};
+use pebblevane_door::{Fields, Told};
+use serde_json::Value as Json;
+
+/// One line of the bus.
+#[derive(Debug, PartialEq)]
+pub enum Line {
+    /// The number of the last event that the bus has.
+    Beat(u64),
+    Event(Event),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    pub offset: u64,
+    /// The whole list, not only what has changed.
+    pub complete: bool,
+    pub engines: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: String,
+    pub zone: String,
+    pub machine: String,
+    pub cell: usize,
+    pub stage: Stage,
+    pub weight: f64,
+    pub started: Option<Moment>,
+}
+
+pub fn line(line: &str) -> Told<Line> {
+    if let Ok(last) = line.trim().parse() {
+        return Ok(Line::Beat(last));
+    }
+    let json: Json = serde_json::from_str(line).map_err(|e| format!("the line is not JSON: {e}"))?;
+    event(&json).map(Line::Event)
+}
+
+pub fn event(json: &Json) -> Told<Event> {
+    let event = Fields { name: "event", json };
+    let topology = event.object("topology")?;
+    let engines = topology.list("instances")?.iter();
+    let engines = engines.map(|json| entry(Fields { name: "instances", json }));
+    Ok(Event {
+        offset: event.whole("offset")?,
+        complete: topology.flag("reset")?,
+        engines: engines.collect::<Told<_>>()?,
+    })
+}
+
+fn entry(entry: Fields) -> Told<Entry> {
+    let started = entry.number_or("startedAtMs", 0.0)?;
+    Ok(Entry {
+        name: entry.text("instanceId")?.to_string(),
+        address: entry.text("hostPort")?.to_string(),
+        zone: entry.text("zone")?.to_string(),
+        machine: entry.text("machineType")?.to_string(),
+        cell: entry.whole_or_zero("cell")? as usize,
+        stage: match entry.text("lifecycle")? {
+            "in_service" => Stage::Running,
+            "terminating" => Stage::Draining,
+            "terminated" => Stage::Gone,
+            _ => return Err(entry.wrong("lifecycle", "in_service, terminating or terminated")),
+        },
+        weight: entry.number_or("weight", 1.0)?,
+        // The module's clock shows Unix time, so that this needs no conversion.
+        started: (started > 0.0).then(|| Moment::from_ms(started)),
+    })
+}
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,9 +1,10 @@
 //! The instances that one process hosts. They share nothing but the engine lists on their way in.
 
-use crate::decode::{Fields, Told, settings};
+use crate::decode::Wire;
 use crate::encode::{self, Names};
 use pebblevane::interface::*;
 use pebblevane::logic::Logic;
+use pebblevane_door::{Engines, Fields, Told, settings};
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,8 +18,7 @@
     manager: String,
     logic: Logic,
     reservations: usize,
-    engines: Vec<String>,
-    engine_numbers: HashMap<String, EngineId>,
+    engines: Engines,
     jobs: HashMap<u32, JobId>,
     requests: BTreeMap<JobId, u32>,
     taken: u32,
@@ -34,7 +34,7 @@
         self.requests[&job]
     }
     fn engine(&self, engine: EngineId) -> &str {
-        &self.engines[engine.0 as usize]
+        self.engines.name(engine)
     }
 }
 
@@ -99,8 +99,7 @@
             manager: manager.to_string(),
             logic,
             reservations,
-            engines: Vec::new(),
-            engine_numbers: HashMap::new(),
+            engines: Engines::default(),
             jobs: HashMap::new(),
             requests: BTreeMap::new(),
             taken: 0,
@@ -141,13 +140,10 @@
             },
             "HeadReceived" => self.logic.answer_begun(now, job, event.whole_or_zero("Copy")? as u32),
             "Expired" => self.logic.gone(now, job),
-            "Checked" => {
-                let name = event.text("Engine")?;
-                match self.engine_numbers.get(name) {
-                    Some(&engine) => self.logic.probed(now, engine, event.outcome()?),
-                    None => return Ok(None),
-                }
-            }
+            "Checked" => match self.engines.known(event.text("Engine")?) {
+                Some(engine) => self.logic.probed(now, engine, event.outcome()?),
+                None => return Ok(None),
+            },
             "TimeoutFired" => {
                 if self.timer.is_some_and(|due| due <= now) {
                     self.timer = None;
@@ -163,7 +159,9 @@
                     })?;
                     let mut listings = Vec::with_capacity(members.len());
                     for json in members {
-                        listings.push(Fields { name: "Members", json }.listing(|name| self.number(name))?);
+                        listings.push(
+                            Fields { name: "Members", json }.listing(|name| self.engines.number(name))?,
+                        );
                     }
                     self.logic.engines_changed(now, kind != "changes", listings)
                 }
@@ -172,16 +170,6 @@
         }))
     }
 
-    fn number(&mut self, name: &str) -> EngineId {
-        if let Some(number) = self.engine_numbers.get(name) {
-            return *number;
-        }
-        let number = EngineId(self.engines.len() as u32);
-        self.engines.push(name.to_string());
-        self.engine_numbers.insert(name.to_string(), number);
-        number
-    }
-
     fn carry_out(&mut self, now: Moment, decided: Decided, steps: &mut Vec<Json>) {
         encode::steps(&decided, self, steps);
         if let Some(wake) = decided.next_wake.filter(|wake| self.timer.is_none_or(|due| *wake < due)) {
