--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -209,10 +209,7 @@
             Call::Probed { engine, outcome } => self.logic.probed(now, engine, outcome),
             Call::Listed(event) => return self.listed(now, event),
             Call::ListLost => self.logic.list_refused(now),
-            Call::Stopping { by } => {
-                let _ = by;
-                return;
-            }
+            Call::Stopping { by } => self.logic.stopping(now, by),
         };
         self.carry_out(decided);
     }
--- a/crates/server/src/wire/bus.rs
+++ b/crates/server/src/wire/bus.rs
@@ -7,7 +7,7 @@
 /// One line of the bus.
 #[derive(Debug, PartialEq)]
 pub enum Line {
-    /// The number of the last event that the bus has.
+    /// The number of the last event that the bus has, as a bare number or alone in an object.
     Beat(u64),
     Event(Event),
 }
@@ -33,11 +33,15 @@
 }
 
 pub fn line(line: &str) -> Told<Line> {
-    if let Ok(last) = line.trim().parse() {
+    let json: Json = serde_json::from_str(line).map_err(|e| format!("the line is not JSON: {e}"))?;
+    if let Some(last) = json.as_u64() {
         return Ok(Line::Beat(last));
     }
-    let json: Json = serde_json::from_str(line).map_err(|e| format!("the line is not JSON: {e}"))?;
-    event(&json).map(Line::Event)
+    let fields = Fields { name: "event", json: &json };
+    match fields.get("topology") {
+        None => fields.whole("offset").map(Line::Beat),
+        Some(_) => event(&json).map(Line::Event),
+    }
 }
 
 pub fn event(json: &Json) -> Told<Event> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! How to call it: [`Logic::new`] takes the settings and a seed; then [`Logic::engines_changed`] tells the
 //! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a
 //! dispatch fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked
-//! for. Each returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why
+//! for; [`Logic::stopping`] announces the end. Each returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why
 //! things are decided so is told in `docs/design.md`.
 
 use crate::interface::*;
@@ -61,6 +61,8 @@
     /// Running engines that started not long ago, where gateways take turns at them.
     cold: Vec<usize>,
     started: Moment,
+    /// When this process ends: every job has its final answer by then.
+    stops: Moment,
     jobs: BTreeMap<JobId, Held>,
     waiting: Vec<JobId>,
     placing: bool,
@@ -117,6 +119,7 @@
             gamma: [0.5; 2],
             gamma_at: now,
             started: now,
+            stops: Moment(i64::MAX),
             settings,
             ..Logic::default()
         };
@@ -167,7 +170,7 @@
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let held = Held {
             taken: now,
-            ends: now + job.left,
+            ends: (now + job.left).min(self.stops),
             sla_ends: now + sla,
             cost,
             bare: cost / kind.threads,
@@ -197,13 +200,9 @@
 
     pub fn settle(&mut self, now: Moment, id: JobId, copy: u32, outcome: Outcome) -> Decided {
         self.now = now;
-        let Some(held) = self.jobs.get_mut(&id) else {
-            return self.finish();
-        };
+        let Some(held) = self.jobs.get_mut(&id) else { return self.finish() };
         held.over |= outcome.over;
-        let Some(out) = held.out.take_if(|out| out.copy == copy) else {
-            return self.finish();
-        };
+        let Some(out) = held.out.take_if(|out| out.copy == copy) else { return self.finish() };
         let ran = !matches!(outcome.verdict, Verdict::Full | Verdict::Unreachable | Verdict::Void);
         if ran && held.may_have_run.is_none() {
             held.may_have_run = Some((out.engine, out.sent));
@@ -304,6 +303,19 @@
         self.finish()
     }
 
+    /// A planned stop: a job that is open at `by` gets its final answer then, as if its client left, and one
+    /// that has not begun and can't be done by then at once, so that it may go elsewhere.
+    pub fn stopping(&mut self, now: Moment, by: Moment) -> Decided {
+        (self.now, self.stops) = (now, by);
+        for held in self.jobs.values_mut() {
+            (held.ends, held.sla_ends) = (held.ends.min(by), held.sla_ends.min(by));
+        }
+        let open: Vec<JobId> = self.jobs.keys().copied().collect();
+        self.at(by - self.guard(), |logic| open.into_iter().for_each(|id| logic.give_up(id)));
+        self.place_waiting();
+        self.finish()
+    }
+
     pub fn wake(&mut self, now: Moment) -> Decided {
         self.now = now;
         while let Some(due) = self.later.first_entry().filter(|due| due.key().0 <= now) {
@@ -439,9 +451,7 @@
     }
 
     fn within_budget(&self) -> bool {
-        let Some(window) = self.settings.number("Contract.BudgetWindow") else {
-            return true;
-        };
+        let Some(window) = self.settings.number("Contract.BudgetWindow") else { return true };
         let since = self.now - Span::from_ms(window);
         let (extras, jobs) = (self.extras.since(since), self.taken.since(since));
         extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
@@ -454,9 +464,7 @@
     fn cold_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
-        let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else {
-            return f64::INFINITY;
-        };
+        let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else { return f64::INFINITY };
         let sent = engine.sent.since(self.now - window);
         let whole = |at| COLD_CARE * multiple * self.warmth(engine, at) * engine.cores * window.ms();
         if !engine.whole {
@@ -520,9 +528,7 @@
 
     /// Gives a job its final answer. It is throttled where trying again is harmless, else cancelled for good.
     fn give_up(&mut self, id: JobId) {
-        let Some(held) = self.jobs.get_mut(&id).filter(|held| !held.over) else {
-            return;
-        };
+        let Some(held) = self.jobs.get_mut(&id).filter(|held| !held.over) else { return };
         let kind = &self.types[held.job.reservation];
         let unrun = held.may_have_run.is_none() && held.out.is_none();
         let harmless = match kind.effect {
@@ -548,9 +554,7 @@
 
     /// Forgets a job that is over and has nothing out; the next job of its key may then have its turn.
     fn release(&mut self, id: JobId) {
-        let Some(held) = self.jobs.get(&id).filter(|held| held.over && held.out.is_none()) else {
-            return;
-        };
+        let Some(held) = self.jobs.get(&id).filter(|held| held.over && held.out.is_none()) else { return };
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             if let Some(unsure) = held.unsure_at {
                 self.rests.insert(key, unsure + self.span("Contract.OrderPause"));
@@ -768,9 +772,7 @@
 
     fn read_report(&mut self, id: usize, report: &Report) {
         let now = self.now;
-        let Some(engine) = self.engines.get_mut(&id) else {
-            return;
-        };
+        let Some(engine) = self.engines.get_mut(&id) else { return };
         let told = |name: &str| report.iter().find(|(told, _)| told == name).map(|(_, value)| value.max(0.0));
         let processor = told("load_share").or(told("concurrent").map(|jobs| jobs / engine.cores));
         engine.processor = processor.or(engine.processor);
@@ -787,9 +789,7 @@
         let Some(held) = self.jobs.get_mut(&id) else { return };
         let (reservation, bare) = (held.job.reservation, held.bare);
         let kind = &mut self.types[reservation];
-        let Some(engine) = self.engines.get_mut(&out.engine) else {
-            return;
-        };
+        let Some(engine) = self.engines.get_mut(&out.engine) else { return };
         engine.returns(id, &held.job, kind, out.memory);
         match outcome.verdict {
             Verdict::Done => {
@@ -878,9 +878,7 @@
     fn reconsider(&mut self, id: JobId) {
         let held = &self.jobs[&id];
         let kind = &self.types[held.job.reservation];
-        let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else {
-            return;
-        };
+        let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else { return };
         if kind.effect != Effect::Restartable || !self.again(held) || self.running.len() < 2 {
             return;
         }
