Tests over sockets, counters, tables named after keywords decide a statement's group

A write to a client has an end, whole lists at the start are respected, the limit told to an engine counts what was spent waiting for a connection.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 const CALLS: usize = 8192; // calls that wait for the module
+const MODULE_STACK: usize = 512 * 1024;
 const STEPS: usize = 32; // steps that wait for one job: more than its dispatches, recalls and answer make
 
 /// What the module's thread is asked to do.
@@ -22,7 +23,6 @@
     Take { id: JobId, job: Job, arrived: Moment, steps: Sender<Step> },
     Settle { id: JobId, copy: u32, outcome: Outcome },
     Progress { id: JobId, copy: u32, note: Note },
-    Begun { id: JobId, copy: u32 },
     Gone { id: JobId },
     Probed { engine: EngineId, outcome: Outcome },
     Listed(Event),
@@ -69,7 +69,7 @@
         let (ready, started) = bounded(1);
         let desk = Arc::new(Desk { calls, next: Mutex::default(), open: AtomicUsize::new(0) });
         let handle = desk.clone();
-        crate::thread("module", move || {
+        crate::thread("module", MODULE_STACK, move || {
             let names = |list: &str| -> Vec<String> {
                 let named = (0..).map(|i| settings.text(&format!("{list}.{i}")).to_string());
                 named.take_while(|name| !name.is_empty()).collect()
@@ -111,9 +111,6 @@
     pub fn progress(&self, id: JobId, copy: u32, note: Note) {
         self.call(Call::Progress { id, copy, note });
     }
-    pub fn begun(&self, id: JobId, copy: u32) {
-        self.call(Call::Begun { id, copy });
-    }
     pub fn gone(&self, id: JobId) {
         self.call(Call::Gone { id });
     }
@@ -199,7 +196,6 @@
                 self.logic.settle(now, id, copy, outcome)
             }
             Call::Progress { id, copy, note } => self.logic.progress(now, id, copy, note),
-            Call::Begun { id, copy } => self.logic.answer_begun(now, id, copy),
             Call::Gone { id } => {
                 if let Some(open) = self.jobs.get_mut(&id) {
                     open.answered = true;
@@ -272,8 +268,11 @@
     /// The events of the start are one list for the module.
     fn listed_at_start(&mut self, known: Vec<Event>) {
         let mut all = BTreeMap::new();
-        for entry in known.into_iter().flat_map(|event| event.engines) {
-            all.insert(entry.name.clone(), entry);
+        for event in known {
+            if event.complete {
+                all.clear();
+            }
+            all.extend(event.engines.into_iter().map(|entry| (entry.name.clone(), entry)));
         }
         let engines = all.into_values().collect();
         self.listed(clock::now(), Event { offset: 0, complete: true, engines });
@@ -343,6 +342,12 @@
             let engine = Engine::start(name, address, self.terms, sockets, clock::now)?;
             self.engines.insert(id, Known { engine, address, started, stage });
         }
+        // Whoever had the address before has gone, whether or not that was told.
+        for (_, old) in self.engines.iter().filter(|(old, known)| **old != id && known.address == address) {
+            if stage != Stage::Gone {
+                old.engine.gone();
+            }
+        }
         let known = &self.engines[&id];
         known.engine.open(stage == Stage::Running);
         if stage == Stage::Gone {
--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -3,6 +3,7 @@
 use crate::desk::{Desk, Step};
 use crate::memory::budget::Lease;
 use crate::memory::clients::Client;
+use crate::memory::counts;
 use crate::memory::engines::{Heard, Out, Request};
 use crate::service::clock;
 use crate::wire::client::Reply;
@@ -28,7 +29,7 @@
     pub client: Arc<Client>,
     pub desk: Arc<Desk>,
     /// The bytes that the job may keep.
-    pub lease: Lease,
+    pub _lease: Lease,
 }
 
 /// A dispatch that is out.
@@ -66,10 +67,11 @@
                 recv(self.steps) -> step => match step {
                     Ok(Step::Dispatch { engine, copy, limit, rank }) => {
                         let sent = clock::now();
+                        let ends = sent + limit;
                         let (id, class) = (self.name.clone(), self.class.clone());
                         let statement = self.statement.clone();
-                        let out = engine.send(Request { id, class, limit, rank, statement });
-                        running = Some(Running { out, copy, sent, ends: sent + limit, result: None });
+                        let out = engine.send(Request { id, class, ends, rank, statement });
+                        running = Some(Running { out, copy, sent, ends, result: None });
                     }
                     Ok(Step::Recall { copy }) => {
                         if let Some(recalled) = running.take_if(|running| running.copy == copy) {
@@ -78,11 +80,16 @@
                             self.settle(recalled, verdict, None, Report::new());
                         }
                     }
-                    Ok(Step::Deliver) => self.client.answer(self.message, &Reply::Done(&result)),
+                    Ok(Step::Deliver) => {
+                        counts::DONE.add();
+                        self.client.answer(self.message, &Reply::Done(&result));
+                    }
                     Ok(Step::Answer(Answer::Throttled(pause))) => {
+                        counts::THROTTLED.add();
                         self.client.answer(self.message, &Reply::Throttled(pause));
                     }
                     Ok(Step::Answer(Answer::Cancelled)) => {
+                        counts::CANCELLED.add();
                         self.client.answer(self.message, &Reply::Failed("cancelled"));
                     }
                     Ok(Step::Released) | Err(_) => return,
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -15,15 +15,17 @@
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 const STACK: usize = 64 * 1024;
+const COUNTS_EVERY: Duration = Duration::from_secs(30);
 const SPARE_SOCKETS: usize = 48; // for the listener, the event bus, the log and what the system wants
 const JOBS: usize = 1536; // each has a thread
 const BYTES: usize = 80 * 1024 * 1024; // for statements and results of open jobs
 
-/// Starts a thread with a small stack.
-fn thread(name: &str, what: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
-    std::thread::Builder::new().name(name.to_string()).stack_size(STACK).spawn(what).map(drop)
+/// Starts a thread.
+fn thread(name: &str, stack: usize, what: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    std::thread::Builder::new().name(name.to_string()).stack_size(stack).spawn(what).map(drop)
 }
 
 fn main() -> ExitCode {
@@ -69,11 +71,18 @@
     });
     let listener = TcpListener::bind(config.listen)
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
-    thread("clients", move || clients::accept(&door, &listener)).map_err(cannot("start a thread"))?;
+    thread("clients", STACK, move || clients::accept(&door, &listener)).map_err(cannot("start a thread"))?;
     let (follower, address, offset, seed) = (desk.clone(), config.bus, config.offset, config.seed);
-    thread("event bus", move || bus::follow(&follower, address, offset, seed))
+    thread("event bus", STACK, move || bus::follow(&follower, address, offset, seed))
         .map_err(cannot("start a thread"))?;
     tracing::info!("{} listens on {}", config.name, config.listen);
+    thread("counts", STACK, || {
+        loop {
+            std::thread::sleep(COUNTS_EVERY);
+            tracing::info!("counts: {}", memory::counts::line());
+        }
+    })
+    .map_err(cannot("start a thread"))?;
     signals.forever().next();
     stop::drain(&desk, &health);
     Ok(())
--- a/crates/server/src/memory/budget.rs
+++ b/crates/server/src/memory/budget.rs
@@ -6,8 +6,6 @@
 pub struct Budget {
     most: usize,
     used: AtomicUsize,
-    /// How often it did not suffice.
-    pub refused: AtomicUsize,
 }
 
 /// A part of a budget.
@@ -18,20 +16,12 @@
 
 impl Budget {
     pub fn new(most: usize) -> Arc<Budget> {
-        Arc::new(Budget { most, used: AtomicUsize::new(0), refused: AtomicUsize::new(0) })
-    }
-    pub fn used(&self) -> usize {
-        self.used.load(SeqCst)
+        Arc::new(Budget { most, used: AtomicUsize::new(0) })
     }
     pub fn lease(self: &Arc<Self>, amount: usize) -> Option<Lease> {
         let more = |used: usize| used.checked_add(amount).filter(|used| *used <= self.most);
-        match self.used.fetch_update(SeqCst, SeqCst, more) {
-            Ok(_) => Some(Lease { budget: self.clone(), amount }),
-            Err(_) => {
-                self.refused.fetch_add(1, SeqCst);
-                None
-            }
-        }
+        self.used.fetch_update(SeqCst, SeqCst, more).ok()?;
+        Some(Lease { budget: self.clone(), amount })
     }
 }
 
--- a/crates/server/src/memory/clients.rs
+++ b/crates/server/src/memory/clients.rs
@@ -1,16 +1,20 @@
 //! Client connections and the jobs that are open on each.
 
 use super::budget::Lease;
+use super::counts;
 use crate::wire::client::{self as wire, Reply};
 use pebblevane::interface::JobId;
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Requests that one connection may hold open, as the protocol says.
-pub const OPEN: usize = 32;
+const OPEN: usize = 32;
+/// A client that does not take an answer within this time is cut off.
+pub const WRITE: Duration = Duration::from_secs(2);
 
 pub struct Client {
     pub stream: TcpStream,
@@ -38,14 +42,13 @@
         }
     }
 
-    /// Whether a request under this message id may be taken now.
-    pub fn takes(&self, message: u32) -> Result<(), &'static str> {
-        let open = locked(&self.open);
-        match open.len() {
-            _ if open.contains_key(&message) => Err("a message id that is open already"),
-            OPEN.. => Err("more open requests than a connection carries"),
-            _ => Ok(()),
-        }
+    /// Whether the connection carries one more request.
+    pub fn has_room(&self) -> bool {
+        locked(&self.open).len() < OPEN
+    }
+
+    pub fn is_open(&self, message: u32) -> bool {
+        locked(&self.open).contains_key(&message)
     }
 
     pub fn open(&self, message: u32, job: JobId) {
@@ -86,8 +89,22 @@
     pub fn write(&self, message: u32, reply: &Reply) {
         let bytes = wire::encode(message, reply);
         let _turn = locked(&self.writing);
-        if !self.broken.load(SeqCst) && (&self.stream).write_all(&bytes).is_err() {
+        if !self.broken.load(SeqCst) && !self.write_in_time(&bytes) {
+            counts::CUT_CLIENTS.add();
             self.give_up();
         }
     }
+
+    /// A client that takes a byte now and then is as bad as one that takes none.
+    fn write_in_time(&self, mut bytes: &[u8]) -> bool {
+        let begun = Instant::now();
+        while !bytes.is_empty() {
+            match (&self.stream).write(bytes) {
+                Ok(count) if count > 0 && begun.elapsed() < WRITE => bytes = &bytes[count..],
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return false,
+            }
+        }
+        true
+    }
 }
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -3,8 +3,9 @@
 //! socket.
 
 use super::budget::{Budget, Lease};
+use super::counts;
 use crate::wire::engine::{self as wire, Word};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use pebblevane::interface::*;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::{BufReader, Write};
@@ -57,7 +58,8 @@
 pub struct Request {
     pub id: Box<str>,
     pub class: Arc<str>,
-    pub limit: Span,
+    /// When the dispatch times out.
+    pub ends: Moment,
     pub rank: Option<u8>,
     pub statement: Arc<[u8]>,
 }
@@ -117,7 +119,7 @@
             opened: 0,
             gone: false,
         };
-        crate::thread(&format!("engine {name}"), move || owner.run(&inbox))?;
+        crate::thread(&format!("engine {name}"), crate::STACK, move || owner.run(&inbox))?;
         Ok(Arc::new(Engine { orders, open, numbers: AtomicU64::new(0) }))
     }
 
@@ -297,7 +299,7 @@
                 bytes: wire::request(
                     &request.id,
                     &request.class,
-                    (request.limit.ms().floor() as i64).max(1),
+                    ((request.ends - (self.now)()).ms().floor() as i64).max(1),
                     request.rank,
                     &request.statement,
                 ),
@@ -318,7 +320,7 @@
         while self.dialing < wanted && self.connections.len() + self.dialing < CONNECTIONS {
             let Some(lease) = self.sockets.lease(1) else { return };
             let (address, dial, me) = (self.address, self.terms.dial, self.me.clone());
-            let dialed = crate::thread(&format!("dial {}", self.name), move || {
+            let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
                 let stream = TcpStream::connect_timeout(&address, dial);
                 let _ =
                     me.send(Order::Dialed(stream.map(|stream| (stream, lease)).map_err(|e| e.to_string())));
@@ -357,7 +359,7 @@
         self.opened += 1;
         let (connection, (lines, to_write)) = (self.opened, bounded::<Line>(LINES));
         let (from, me) = (stream.clone(), self.me.clone());
-        crate::thread(&format!("from {}", self.name), move || {
+        crate::thread(&format!("from {}", self.name), crate::STACK, move || {
             let mut from = BufReader::with_capacity(8 * 1024, &*from);
             let why = loop {
                 match wire::read(&mut from) {
@@ -373,7 +375,9 @@
             let _ = me.send(Order::Lost { connection, why });
         })?;
         let (to, me, open) = (stream.clone(), self.me.clone(), self.open.clone());
-        crate::thread(&format!("to {}", self.name), move || write_lines(&to, &to_write, &me, &open))?;
+        crate::thread(&format!("to {}", self.name), crate::STACK, move || {
+            write_lines(&to, &to_write, &me, &open)
+        })?;
         let connection = Connection {
             stream,
             lines,
@@ -390,7 +394,7 @@
     fn heard(&mut self, connection: u64, id: &str, word: Word) {
         let found = self.connections.get(&connection).and_then(|connection| connection.ids.get(id)).copied();
         let Some(number) = found else {
-            tracing::debug!("engine {}: a late or unknown answer to {}", self.name, id.escape_debug());
+            counts::STRAY_WORDS.add();
             return;
         };
         let Some(entry) = self.outs.get_mut(&number) else { return };
@@ -411,7 +415,7 @@
                 let ends = match &word {
                     Word::Hit { sheets, .. } => {
                         if std::mem::replace(&mut entry.headed, true) {
-                            return tracing::debug!("engine {}: a second end of {id}", self.name);
+                            return counts::STRAY_WORDS.add();
                         }
                         *sheets <= 1
                     }
@@ -421,8 +425,8 @@
                 };
                 let done = matches!(word, Word::Hit { .. });
                 // A job that can't keep up with a flood of notes misses some; its own time-out ends it.
-                if let Err(TrySendError::Full(_)) = words.try_send(Heard::Word(word)) {
-                    tracing::debug!("engine {}: too many words on {id}", self.name);
+                if words.try_send(Heard::Word(word)).is_err() {
+                    counts::STRAY_WORDS.add();
                 }
                 if ends {
                     self.leave(number, !done);
@@ -491,6 +495,7 @@
     fn lost(&mut self, connection: u64, why: &str) {
         let Some(connection) = self.connections.remove(&connection) else { return };
         let _ = connection.stream.shutdown(Shutdown::Both);
+        counts::LOST_CONNECTIONS.add();
         if !connection.ids.is_empty() {
             tracing::info!(
                 "engine {}: lost a connection with {} open: {why}",
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod budget;
 pub mod clients;
+pub mod counts;
 pub mod engines;
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -2,6 +2,7 @@
 //! connection that falls silent or one that ends leads to a new one after a spread pause.
 
 use crate::desk::Desk;
+use crate::memory::counts;
 use crate::wire::bus::{self, Line};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -61,7 +62,10 @@
                 *last = event.offset;
                 desk.listed(event);
             }
-            Err(why) => tracing::warn!("event bus: a line is passed over: {why}"),
+            Err(why) => {
+                counts::ODD_EVENTS.add();
+                tracing::warn!("event bus: a line is passed over: {why}");
+            }
         }
     }
 }
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -3,7 +3,8 @@
 use crate::desk::Desk;
 use crate::job::{LONGEST_RESULT, Life};
 use crate::memory::budget::{Budget, Lease};
-use crate::memory::clients::Client;
+use crate::memory::clients::{Client, WRITE};
+use crate::memory::counts;
 use crate::service::clock;
 use crate::service::stop::Health;
 use crate::wire::client::{self as wire, Ask, Frame, Message, Reply};
@@ -16,7 +17,6 @@
 use std::time::{Duration, Instant};
 
 const IDLE: Duration = Duration::from_secs(30); // after this an idle connection is closed
-const WRITE: Duration = Duration::from_secs(2); // a client that takes none of its answer for so long is cut off
 const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
 
 /// What all client connections share.
@@ -42,7 +42,7 @@
             Ok((stream, _)) => {
                 let door = door.clone();
                 let client = Arc::new(Client::new(stream, lease));
-                if let Err(e) = crate::thread("client", move || serve(&door, &client)) {
+                if let Err(e) = crate::thread("client", crate::STACK, move || serve(&door, &client)) {
                     tracing::warn!("clients: no thread for a connection: {e}");
                 }
             }
@@ -59,6 +59,7 @@
         tracing::debug!("clients: a connection ended: {why}");
     }
     for job in client.leave() {
+        counts::LEFT.add();
         door.desk.gone(job);
     }
 }
@@ -103,9 +104,10 @@
             }
         }
         bytes.drain(..done);
-        if bytes.is_empty() {
+        if done > 0 {
+            begun = Instant::now();
             bytes.shrink_to(4096);
-        } else if begun.elapsed() > IDLE && done == 0 {
+        } else if begun.elapsed() > IDLE {
             return Err("a message that does not come to its end".to_string());
         }
     }
@@ -115,10 +117,16 @@
     match message {
         Message::Job(ask) => take(door, client, ask, arrived)?,
         Message::Forget(ids) => {
-            ids.into_iter().filter_map(|id| client.forget(id)).for_each(|job| door.desk.gone(job));
+            for job in ids.into_iter().filter_map(|id| client.forget(id)) {
+                counts::LEFT.add();
+                door.desk.gone(job);
+            }
         }
         Message::IsWell(id) => client.write(id, &Reply::Well(door.health.is_well())),
-        Message::Unusable(id, why) => client.write(id, &Reply::Failed(&why)),
+        Message::Unusable(id, why) => {
+            counts::UNUSABLE.add();
+            client.write(id, &Reply::Failed(&why));
+        }
         Message::Other => {}
     }
     Ok(())
@@ -126,9 +134,14 @@
 
 /// Hands a job to the module and to a thread of its own.
 fn take(door: &Arc<Door>, client: &Arc<Client>, ask: Ask, arrived: Moment) -> Result<(), String> {
-    client.takes(ask.message)?;
-    let Some((thread, lease)) = room(door, ask.statement.len()) else {
+    if client.is_open(ask.message) {
+        // Whatever were answered under this id would be taken for the other request's answer.
+        return Err("a message id that is open already".to_string());
+    }
+    let room = if client.has_room() { room(door, ask.statement.len()) } else { None };
+    let Some((thread, lease)) = room else {
         // The one answer that the program gives by itself, for a job that the module never saw.
+        counts::AT_LIMIT.add();
         client.write(ask.message, &Reply::Throttled(BACK_IN));
         return Ok(());
     };
@@ -141,6 +154,7 @@
         repeat: ask.repeat,
         ..Job::default()
     };
+    counts::TAKEN.add();
     let (id, steps) = door.desk.take(job, arrived);
     client.open(ask.message, id);
     let life = Life {
@@ -152,7 +166,7 @@
         statement: ask.statement.into(),
         client: client.clone(),
         desk: door.desk.clone(),
-        lease,
+        _lease: lease,
     };
     let _ = thread.send(life);
     Ok(())
@@ -168,6 +182,6 @@
             life.live();
         }
     };
-    crate::thread("job", live).ok()?;
+    crate::thread("job", crate::STACK, live).ok()?;
     Some((thread, bytes))
 }
--- a/crates/server/src/service/config.rs
+++ b/crates/server/src/service/config.rs
@@ -8,6 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// With fewer descriptors nothing is left for engines.
+const FEWEST_SOCKETS: usize = 100;
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -52,7 +55,12 @@
             },
             listen,
             seed: u64::from_str_radix(seed, 16).map_err(|_| fields.wrong("seed", "a hexadecimal number"))?,
-            sockets: limits.whole("sockets")? as usize,
+            sockets: match limits.whole("sockets")? as usize {
+                few if few < FEWEST_SOCKETS => {
+                    return Err(limits.wrong("sockets", &format!("at least {FEWEST_SOCKETS}")));
+                }
+                enough => enough,
+            },
             bus: address("configuration", "bus", fields.text("bus")?)?,
             offset: known.whole("offset")?,
             known: events,
--- a/crates/server/src/wire/client.rs
+++ b/crates/server/src/wire/client.rs
@@ -10,6 +10,7 @@
 const LONGEST_TEXT: usize = 4096;
 const MOST_ENTRIES: usize = 64;
 const MOST_ITEMS: usize = 512;
+const LONGEST_WAIT_MS: f64 = 86_400_000.0;
 
 /// What the bytes at hand hold.
 #[derive(Debug, PartialEq)]
@@ -155,7 +156,7 @@
                 let hex = value.len() == 16 && value.bytes().all(|byte| byte.is_ascii_hexdigit());
                 id = hex.then(|| value.into());
             }
-            "d" => left = number(0.0)?,
+            "d" => left = number(0.0)?.filter(|ms| *ms < LONGEST_WAIT_MS),
             "h" => cost = number(0.0)?,
             "mem" => memory = number(0.0)?,
             "r" => repeat = value == "1",
--- a/crates/server/src/wire/sql.rs
+++ b/crates/server/src/wire/sql.rs
@@ -1,87 +1,165 @@
 //! Finds the group of tables that a statement reads or writes: the number behind the underscore in the name
 //! of its schema, as 17 in `sales_17.orders`. Strings, comments and the schema `staging` do not count.
 
-/// The group of the first schema that has one; none if no schema has.
+/// Words after which a table is named.
+const BEFORE_TABLES: [&[u8]; 9] =
+    [b"from", b"join", b"into", b"update", b"table", b"only", b"using", b"copy", b"truncate"];
+
+/// The group of the first table that has one; where none is named as a table, of the first schema.
 pub fn group(statement: &[u8]) -> Option<u64> {
     let mut rest = statement;
-    let mut schema: Option<Vec<u8>> = None; // a name that a dot may follow
-    while let Some((&first, after)) = rest.split_first() {
-        match first {
-            b'\'' => {
-                rest = quoted(after, b'\'').1;
-                schema = None;
-            }
-            b'"' | b'`' => {
-                let (name, after) = quoted(after, first);
-                (schema, rest) = (Some(name), after);
+    let mut names: Vec<&[u8]> = Vec::new(); // a chain of names with dots between, as far as it has come
+    let (mut dot, mut word_before, mut fallback): (bool, &[u8], _) = (false, b"", None);
+    loop {
+        let (token, after) = next(rest);
+        rest = after;
+        match token {
+            Token::Name(name) if dot || names.is_empty() => {
+                names.push(name);
+                dot = false;
+                continue;
             }
-            b'-' if after.first() == Some(&b'-') => {
-                let end = after.iter().position(|byte| *byte == b'\n').unwrap_or(after.len());
-                rest = &after[end..];
+            Token::Dot if !names.is_empty() => {
+                dot = true;
+                continue;
             }
-            b'/' if after.first() == Some(&b'*') => rest = comment(&after[1..]),
-            b'.' => {
-                if let Some(group) = schema.take().and_then(|name| number(&name)) {
-                    return Some(group);
-                }
-                rest = after;
+            _ => {}
+        }
+        // The chain has ended: the schema is what stands before a table's own name.
+        let schemas = &names[..names.len().saturating_sub(1)];
+        if BEFORE_TABLES.iter().any(|word| word.eq_ignore_ascii_case(word_before))
+            && let Some(group) = schemas.last().and_then(|schema| number(schema))
+        {
+            return Some(group);
+        }
+        fallback = fallback.or_else(|| schemas.iter().find_map(|schema| number(schema)));
+        if let [only] = names[..] {
+            word_before = only;
+        } else if !names.is_empty() {
+            word_before = b"";
+        }
+        (names, dot) = (Vec::new(), false);
+        match token {
+            Token::Name(name) => names.push(name),
+            Token::End => return fallback,
+            // A list of tables goes on; anything else does not lead to one.
+            Token::Other | Token::Dot => word_before = b"",
+        }
+    }
+}
+
+enum Token<'a> {
+    Name(&'a [u8]),
+    Dot,
+    /// A string, number or sign.
+    Other,
+    End,
+}
+
+/// The next token and what comes after it.
+fn next(mut rest: &[u8]) -> (Token<'_>, &[u8]) {
+    loop {
+        match rest {
+            [] => return (Token::End, rest),
+            [b'-', b'-', ..] => rest = &rest[end(rest, |byte| byte == b'\n')..],
+            [b'/', b'*', after @ ..] => rest = comment(after),
+            [b'\'', after @ ..] => return (Token::Other, quoted(after, b'\'').1),
+            [mark @ (b'"' | b'`'), after @ ..] => {
+                let (name, after) = quoted(after, *mark);
+                return (Token::Name(name), after);
             }
-            _ if word(first) => {
-                let end = rest.iter().position(|byte| !word(*byte)).unwrap_or(rest.len());
-                (schema, rest) = (Some(rest[..end].to_vec()), &rest[end..]);
+            [b'.', after @ ..] => return (Token::Dot, after),
+            [first, after @ ..] if first.is_ascii_whitespace() => rest = after,
+            [first, ..] if in_name(*first) => {
+                let (name, after) = rest.split_at(end(rest, |byte| !in_name(byte)));
+                return (Token::Name(name), after);
             }
-            _ if first.is_ascii_whitespace() => rest = after,
-            _ => (schema, rest) = (None, after),
+            [_, after @ ..] => return (Token::Other, after),
         }
     }
-    None
 }
 
-fn word(byte: u8) -> bool {
+fn end(rest: &[u8], is_end: impl Fn(u8) -> bool) -> usize {
+    rest.iter().position(|byte| is_end(*byte)).unwrap_or(rest.len())
+}
+
+fn in_name(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80
 }
 
-/// What stands before the closing mark, where a doubled one stands for itself, and what comes after it.
-fn quoted(mut rest: &[u8], mark: u8) -> (Vec<u8>, &[u8]) {
-    let mut inside = Vec::new();
-    while let Some((&byte, after)) = rest.split_first() {
-        rest = after;
-        if byte == mark {
-            match rest.split_first() {
-                Some((&next, after)) if next == mark => rest = after,
-                _ => break,
-            }
+/// What stands before the closing mark, in which a doubled one does not close, and what comes after.
+fn quoted(rest: &[u8], mark: u8) -> (&[u8], &[u8]) {
+    let mut at = 0;
+    loop {
+        at += end(&rest[at..], |byte| byte == mark);
+        match rest.get(at + 1) {
+            Some(next) if *next == mark => at += 2,
+            _ => return (&rest[..at], rest.get(at + 1..).unwrap_or_default()),
         }
-        inside.push(byte);
     }
-    (inside, rest)
 }
 
 /// What comes after a block comment, in which others may nest.
 fn comment(mut rest: &[u8]) -> &[u8] {
     let mut depth = 1;
-    while depth > 0 && !rest.is_empty() {
-        let step = match rest {
-            [b'*', b'/', ..] => {
+    while depth > 0 {
+        rest = match rest {
+            [] => return rest,
+            [b'*', b'/', after @ ..] => {
                 depth -= 1;
-                2
+                after
             }
-            [b'/', b'*', ..] => {
+            [b'/', b'*', after @ ..] => {
                 depth += 1;
-                2
+                after
             }
-            _ => 1,
+            [_, after @ ..] => after,
         };
-        rest = &rest[step..];
     }
     rest
 }
 
 fn number(schema: &[u8]) -> Option<u64> {
-    let schema = std::str::from_utf8(schema).ok()?;
-    let (name, digits) = schema.rsplit_once('_')?;
-    let plain = !name.is_empty() && !name.eq_ignore_ascii_case("staging");
-    (plain && !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit()))
-        .then(|| digits.parse().ok())
-        .flatten()
+    let (name, digits) = std::str::from_utf8(schema).ok()?.rsplit_once('_')?;
+    let digits = Some(digits).filter(|digits| digits.bytes().all(|byte| byte.is_ascii_digit()));
+    digits.filter(|_| !name.is_empty())?.parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::group;
+
+    #[test]
+    fn the_group_is_found_in_odd_statements() {
+        let table = [
+            ("select * from sales_17.orders", Some(17)),
+            ("SELECT id, n\n  FROM\n mart_4 . lines", Some(4)),
+            ("insert into ops_7.stock select * from staging.batch_3", Some(7)),
+            ("insert into staging.batch_3 select * from ops_7.stock", Some(7)),
+            ("merge into lake_7.events d using staging.delta s on d.id = s.id", Some(7)),
+            ("select a.id, 'from lake_0.decoy' as note from a_1.b", Some(1)),
+            ("select 'it''s from lake_0.decoy' from a_1.b", Some(1)),
+            ("select n -- was: from mart_1.old\n from mart_2.new", Some(2)),
+            ("select /* from x_1.y /* nested */ from x_2.y */ 1 from x_3.y", Some(3)),
+            ("select 1 from \"sales_5\".\"orders\"", Some(5)),
+            ("select 1 from \"sales\"\"_5\".orders join b_6.c on true", Some(5)),
+            ("select o_1.n from sales_9.orders o_1", Some(9)),
+            ("with w as (select * from lake_3.stock) select sum(n) from w", Some(3)),
+            ("update core.sales_12.orders set n = 1", Some(12)),
+            ("select 1 from a.b, sales_8.orders", Some(8)),
+            ("delete from only sales_10.orders", Some(10)),
+            ("select 1 from staging.orders_17", None),
+            ("select 1.5 from orders_17", None),
+            ("select 1 from sales_.orders", None),
+            ("select 1 from _17.orders", None),
+            ("select 1 from sales_99999999999999999999999.orders", None),
+            ("select 'never closed from a_1.b", None),
+            ("select 1 /* never closed from a_1.b", None),
+            ("select \"never closed", None),
+            ("", None),
+        ];
+        for (statement, wanted) in table {
+            assert_eq!(group(statement.as_bytes()), wanted, "{statement}");
+        }
+    }
 }
--- /dev/null
+++ b/crates/server/tests/sockets.rs
@@ -0,0 +1,533 @@
+//! Starts the program and speaks to it over sockets. Each test names the trouble that it guards against.
+
+mod helpers;
+use expect_test::expect;
+use helpers::*;
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+
+/// One engine, the bus, the program and a client.
+fn one_engine() -> (Engines, Bus, Program, Client) {
+    let (engines, bus) = (Engines::start(1), Bus::start());
+    let program = Program::start(&engines, &bus);
+    let client = program.client();
+    (engines, bus, program, client)
+}
+
+#[test]
+fn a_job_goes_out_and_comes_back() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(7, "lookup", 5000);
+    let seen = engines.next();
+    let (head, limit) = seen.line.split_once("limit=").unwrap();
+    let (limit, tail) = limit.split_once(',').unwrap();
+    assert!((4900..=5000).contains(&limit.parse().unwrap()), "{limit}");
+    seen.says("INFO", "tell=advance,val=0.5", "");
+    seen.says("HIT", "sheets=1,toil=12.5,room=64", "a\tb\tc\n");
+    expect![[r#"
+        REQ 0000000000000007 cls=lookup,|urgency=3 29
+        select * from sales_17.orders
+        7: done a\tb\tc\n"#]]
+    .assert_eq(&format!("{head}|{tail}\n{}\n{}", String::from_utf8_lossy(&seen.body), client.next()));
+}
+
+/// Pages that come out of order, twice, under a number that was not asked for or not at all never make a
+/// job done with rows that are wrong.
+#[test]
+fn pages_are_put_in_order_and_checked() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(1, "lookup", 5000);
+    let head = engines.next();
+    head.says("HIT", "sheets=4", "0\n");
+    let asked: Vec<Seen> = (0..3).map(|_| engines.next()).collect();
+    let mut trace: Vec<String> = asked.iter().map(|seen| seen.line.clone()).collect();
+    asked[2].says("PART", "sheet=3", "3\n");
+    asked[2].says("PART", "sheet=9", "9\n");
+    asked[0].says("PART", "sheet=1", "1\n");
+    asked[0].says("PART", "sheet=1", "again\n");
+    asked[1].says("PART", "sheet=2", "2\n");
+    trace.push(client.next());
+    trace.push(engines.next().line);
+    client.ask(2, "load", 5000);
+    engines.next().says("HIT", "sheets=2", "0\n");
+    let page = engines.next();
+    trace.push(page.line.clone());
+    page.says("FAULT", "-", "");
+    trace.push(client.next());
+    expect![[r#"
+        FETCH 0000000000000001 1
+        FETCH 0000000000000001 2
+        FETCH 0000000000000001 3
+        1: done 0\n1\n2\n3\n
+        END 0000000000000001
+        FETCH 0000000000000002 1
+        2: Failed why=cancelled"#]]
+    .assert_eq(&trace.join("\n"));
+    engines.nothing();
+}
+
+/// A result past the longest that the protocol allows is no answer.
+#[test]
+fn a_result_that_is_too_long_is_not_passed_on() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(1, "load", 5000);
+    engines.next().says("HIT", "sheets=1", &"x".repeat(48_001));
+    expect!["1: Failed why=cancelled"].assert_eq(&client.next());
+}
+
+/// Bytes come in any pieces.
+#[test]
+fn requests_may_come_a_byte_at_a_time_or_many_at_once() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    let request = |message| job(message, "lookup", &[("i", &id(message)), ("d", "9000")], SELECT);
+    request(1).chunks(1).for_each(|byte| client.write(byte));
+    engines.next().says("HIT", "-", "one\n");
+    let mut trace = vec![client.next()];
+    client.write(&(2..=32).flat_map(request).collect::<Vec<u8>>());
+    let mut seen: Vec<Seen> = (2..=32).map(|_| engines.next()).collect();
+    // Answers may come in any order.
+    seen.reverse();
+    seen.iter().for_each(|seen| seen.says("HIT", "-", ""));
+    let mut answers: Vec<String> = (2..=32).map(|_| client.next()).collect();
+    answers.sort();
+    answers.dedup();
+    trace.push(format!("{} answers", answers.len()));
+    expect![["1: done one\\n\n31 answers"]].assert_eq(&trace.join("\n"));
+}
+
+/// What is no message ends its own connection and nothing else.
+#[test]
+fn a_connection_that_speaks_garbage_ends_alone() {
+    let (engines, _bus, program, mut client) = one_engine();
+    client.ask(1, "lookup", 9000);
+    let seen = engines.next();
+    let mut trace = String::new();
+    for (what, bytes) in [
+        ("text", &b"GET / HTTP/1.1\r\n\r\n"[..]),
+        ("huge body", &b"\x94\x00\x01\xa6lookup\x92\x80\xc6\xff\xff\xff\xff"[..]),
+        ("huge map", &b"\x94\x00\x01\xa6lookup\x92\xdf\xff\xff\xff\xff"[..]),
+        ("deep", &b"\x94\x00\x01\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91"[..]),
+        ("reserved", &b"\x94\xc1"[..]),
+        ("no request", &b"\x94\x05\x01\xa1a\x90"[..]),
+    ] {
+        let mut other = program.client();
+        other.write(bytes);
+        trace += &format!("{what}: {}\n", other.next());
+    }
+    seen.says("HIT", "-", "still here");
+    trace += &client.next();
+    expect![[r#"
+        text: closed
+        huge body: closed
+        huge map: closed
+        deep: closed
+        reserved: closed
+        no request: closed
+        1: done still here"#]]
+    .assert_eq(&trace);
+}
+
+/// What can be read but not used gets an error on its own id.
+#[test]
+fn a_request_that_is_of_no_use_leaves_its_connection_alive() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    let name = id(1);
+    let mut trace = String::new();
+    for (message, class, fields) in [
+        (1, "nonsense", vec![("i", name.as_str()), ("d", "900")]),
+        (2, "lookup", vec![("i", name.as_str())]),
+        (3, "lookup", vec![("i", name.as_str()), ("d", "soon")]),
+        (4, "lookup", vec![("i", name.as_str()), ("d", "NaN")]),
+        (5, "lookup", vec![("i", name.as_str()), ("d", "900"), ("h", "-1")]),
+        (6, "lookup", vec![("i", "a b\r\n"), ("d", "900")]),
+        (7, "lookup", vec![("d", "900")]),
+    ] {
+        client.write(&job(message, class, &fields, SELECT));
+        trace += &format!("{}\n", client.next());
+    }
+    client.write(b"\x93\x02\xa5hello\x90");
+    client.ask(8, "lookup", 9000);
+    engines.next().says("HIT", "-", "");
+    trace += &client.next();
+    expect![[r#"
+        1: Failed why=unknown reservation type nonsense
+        2: Failed why=field d is missing or odd
+        3: Failed why=field d is missing or odd
+        4: Failed why=field d is missing or odd
+        5: Failed why=field h is missing or odd
+        6: Failed why=field i is missing or odd
+        7: Failed why=field i is missing or odd
+        8: done "#]]
+    .assert_eq(&trace);
+}
+
+/// A client that forgets, or is gone, has its work stopped.
+#[test]
+fn the_work_of_clients_that_left_is_stopped() {
+    let (engines, _bus, program, mut client) = one_engine();
+    client.ask(1, "lookup", 9000);
+    let mut trace = vec![engines.next().word(0).to_string()];
+    client.forget(1);
+    trace.push(engines.next().line);
+    let mut other = program.client();
+    other.ask(2, "load", 9000);
+    engines.next().says("INFO", "-", "");
+    other.leave();
+    trace.push(engines.next().line);
+    // The first connection is as it was, and nothing was answered on it.
+    client.ask(3, "lookup", 9000);
+    engines.next().says("HIT", "-", "");
+    trace.push(client.next());
+    expect![[r#"
+        REQ
+        STOP 0000000000000001
+        STOP 0000000000000002
+        3: done "#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// What an engine can do to a dispatch, and what follows for a job that may be run again and for one that
+/// must not: the second is sent again only where nothing can have run.
+#[test]
+fn each_end_of_a_dispatch_is_told_for_what_it_proves() {
+    fn end(what: &str, seen: &Seen) {
+        match what {
+            "full" => seen.says("SHED", "-", ""),
+            "over" => seen.says("LATE", "-", ""),
+            "error" => seen.says("FAULT", "-", ""),
+            "reset" => seen.hang_up(),
+            "garbage" => seen.raw(b"what?\r\n"),
+            _ => {
+                seen.says("HIT", "sheets=2", "0\n");
+                seen.hang_up();
+            }
+        }
+    }
+    // Each dispatch ends the same way until the job is answered.
+    let life = |what: &'static str, class: &'static str| {
+        move || {
+            let (engines, _bus, _program, mut client) = one_engine();
+            client.ask(1, class, 1000);
+            let answer = std::thread::spawn(move || client.next());
+            let mut sends = 0;
+            while !answer.is_finished() {
+                if let Some(seen) = engines.soon().filter(|seen| seen.word(0) == "REQ") {
+                    sends += 1;
+                    end(what, &seen);
+                }
+            }
+            let again = if sends > 1 { "sent again" } else { "sent once" };
+            format!("{what} {class}: {again}, {}\n", answer.join().unwrap())
+        }
+    };
+    let ends = ["full", "over", "error", "reset", "garbage", "head only"];
+    let lives = ends.iter().flat_map(|what| [(what, "lookup"), (what, "load")]);
+    let lives: Vec<_> = lives.map(|(what, class)| std::thread::spawn(life(what, class))).collect();
+    let trace: String = lives.into_iter().map(|life| life.join().unwrap()).collect();
+    expect![[r#"
+        full lookup: sent again, 1: Busy w=1000
+        full load: sent again, 1: Busy w=1000
+        over lookup: sent once, 1: Busy w=1000
+        over load: sent once, 1: Busy w=1000
+        error lookup: sent again, 1: Busy w=1000
+        error load: sent once, 1: Failed why=cancelled
+        reset lookup: sent again, 1: Busy w=1000
+        reset load: sent once, 1: Failed why=cancelled
+        garbage lookup: sent again, 1: Busy w=1000
+        garbage load: sent once, 1: Failed why=cancelled
+        head only lookup: sent again, 1: Busy w=1000
+        head only load: sent once, 1: Failed why=cancelled
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Nothing ran where no connection was made, so that even a run-once job may go to another engine.
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let (mut engines, bus) = (Engines::start(1), Bus::start());
+    engines.add_dead();
+    let program = Program::start(&engines, &bus);
+    let mut client = program.client();
+    for message in 1..=8 {
+        client.ask(message, "load", 9000);
+        engines.next().says("HIT", "-", "");
+        assert_eq!(client.next(), format!("{message}: done "));
+    }
+}
+
+/// An engine that says nothing at all: the answer comes before the client's time is over, the work is
+/// stopped, and the others on that connection go on.
+#[test]
+fn silence_ends_with_the_jobs_own_time() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(1, "load", 9000);
+    let other = engines.next();
+    client.ask(2, "load", 300);
+    let silent = engines.next();
+    let mut trace = vec![client.next(), engines.next().line];
+    silent.says("HIT", "-", "too late");
+    other.says("HIT", "-", "in time");
+    trace.push(client.next());
+    expect![[r#"
+        2: Failed why=cancelled
+        STOP 0000000000000002
+        1: done in time"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// Doubled answers and answers to nothing are passed over.
+#[test]
+fn answers_that_nobody_waits_for_are_dropped() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(1, "lookup", 9000);
+    let seen = engines.next();
+    seen.says_to("ffffffffffffffff", "HIT", "-", "not asked for");
+    seen.says_to("p99", "PONG", "-", "");
+    seen.says("HIT", "-", "right");
+    seen.says("HIT", "-", "again");
+    seen.says("FAULT", "-", "");
+    let mut trace = vec![client.next()];
+    client.ask(2, "lookup", 9000);
+    engines.next().says("HIT", "-", "second");
+    trace.push(client.next());
+    expect![["1: done right\n2: done second"]].assert_eq(&trace.join("\n"));
+}
+
+/// After a recall a job goes on where no late answer can be taken for its own.
+#[test]
+fn a_job_that_is_sent_again_uses_another_connection() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    client.ask(1, "lookup", 9000);
+    let first = engines.next();
+    first.says("FAULT", "-", "");
+    let second = engines.next();
+    first.says("HIT", "-", "late and wrong");
+    second.says("HIT", "-", "right");
+    expect!["1: done right"].assert_eq(&client.next());
+}
+
+/// The bus is away at the start, repeats, skips, speaks nonsense and is cut.
+#[test]
+fn the_event_bus_is_followed_through_its_troubles() {
+    let mut engines = Engines::start(2);
+    let away = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let mut only_first = config(&engines, &away);
+    only_first["known"]["batch"] =
+        json!([event(1, true, vec![entry("e0", &engines.addresses[0], "in_service")])]);
+    let program = Program::with(only_first);
+    let mut client = program.client();
+    let mut message = 0;
+    let mut goes_to = |engines: &Engines| {
+        message += 1;
+        client.ask(message, "lookup", 9000);
+        let seen = engines.next();
+        seen.says("HIT", "-", "");
+        assert_eq!(client.next(), format!("{message}: done "));
+        seen.engine
+    };
+    let mut trace = format!("at the start: engine {}\n", goes_to(&engines));
+    let mut bus = Bus::listen(&away, 1);
+    trace += &format!("{}\n", bus.asked());
+    bus.says("{\"offset\":2,\"topology\":{\"instances\":[{\"instanceId\":7}]}}");
+    bus.says("nonsense");
+    bus.event(1, true, vec![]);
+    bus.event(2, false, vec![entry("e1", &engines.addresses[1], "in_service")]);
+    bus.event(2, false, vec![entry("e1", &engines.addresses[1], "terminated")]);
+    bus.says(&event(4, false, vec![entry("e1", &engines.addresses[1], "terminated")]).to_string());
+    trace += &format!("after a gap: {}\n", bus.asked());
+    bus.event(3, false, vec![entry("e0", &engines.addresses[0], "terminating")]);
+    bus.cut();
+    trace += &format!("after a cut: {}\n", bus.asked());
+    trace += &format!("e0 drains: engine {}\n", goes_to(&engines));
+    // A new engine at the address of one that has gone, in a list that is complete.
+    engines.add("127.0.0.1:0");
+    bus.event(4, true, vec![entry("e2", &engines.addresses[2], "in_service")]);
+    bus.cut();
+    bus.asked();
+    trace += &format!("a new list: engine {}\n", goes_to(&engines));
+    expect![[r#"
+        at the start: engine 0
+        from 1
+        after a gap: from 2
+        after a cut: from 3
+        e0 drains: engine 1
+        a new list: engine 2
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// A silent bus is noticed by its missing heartbeat.
+#[test]
+fn a_silent_event_bus_is_connected_to_anew() {
+    let engines = Engines::start(1);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let _program = Program::with(config(&engines, &silent.local_addr().unwrap().to_string()));
+    let first = silent.accept().unwrap();
+    let second = silent.accept().unwrap();
+    drop((first, second));
+}
+
+/// A machine that vanished leaves connections open and silent; its successor at the address gets none.
+#[test]
+fn a_restarted_engine_gets_no_old_connection() {
+    let (engines, mut bus, _program, mut client) = one_engine();
+    client.ask(1, "load", 9000);
+    let old = engines.next();
+    let mut fresh = entry("e0", &engines.addresses[0], "in_service");
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    fresh["startedAtMs"] = json!(unix.as_millis() as u64 + 1);
+    bus.event(2, false, vec![fresh]);
+    let mut trace = vec![client.next()];
+    old.says("HIT", "-", "from the old process");
+    client.ask(2, "lookup", 9000);
+    engines.next().says("HIT", "-", "from the new process");
+    trace.push(client.next());
+    expect![[r#"
+        1: Failed why=cancelled
+        2: done from the new process"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// Told to stop, the program is no longer well but answers all that it has taken, and what still comes.
+#[test]
+fn a_planned_stop_answers_all_that_was_taken() {
+    let (engines, _bus, mut program, mut client) = one_engine();
+    client.ask(1, "lookup", 9000);
+    let first = engines.next();
+    client.ask(2, "load", 9000);
+    let _never = engines.next();
+    client.ask(3, "lookup", 9000);
+    let _neither = engines.next();
+    program.terminate();
+    let mut other = program.client();
+    let mut trace = String::new();
+    while trace.is_empty() {
+        other.is_well(1);
+        if other.next().ends_with("false") {
+            trace += "not well\n";
+        }
+    }
+    other.ask(2, "lookup", 9000);
+    engines.next().says("HIT", "-", "late guest");
+    trace += &format!("{}\n", other.next());
+    first.says("HIT", "-", "first");
+    let mut answers = [client.next(), client.next(), client.next()];
+    answers.sort();
+    trace += &answers.join("\n");
+    trace += &format!("\n{}", program.child.wait().unwrap());
+    expect![[r#"
+        not well
+        2: done late guest
+        1: done first
+        2: Failed why=cancelled
+        3: Busy w=1000
+        exit status: 0"#]]
+    .assert_eq(&trace);
+}
+
+/// With all descriptors for clients in use a further connection waits and is served in its turn.
+#[test]
+fn connections_past_the_limit_wait() {
+    let (engines, bus) = (Engines::start(1), Bus::start());
+    let mut few = config(&engines, &bus.address);
+    few["limits"]["sockets"] = json!(120);
+    let program = Program::with(few);
+    std::thread::scope(|scope| {
+        let client = |_| {
+            let mut client = program.client();
+            scope.spawn(move || {
+                client.ask(1, "lookup", 15_000);
+                client.next()
+            })
+        };
+        let clients: Vec<_> = (0..50).map(client).collect();
+        (0..50).for_each(|_| engines.next().says("HIT", "-", ""));
+        for client in clients {
+            assert_eq!(client.join().unwrap(), "1: done ");
+        }
+    });
+}
+
+/// A client that takes none of its answers holds up nobody else.
+#[test]
+fn a_slow_reader_stops_nobody_else() {
+    let (engines, _bus, program, mut client) = one_engine();
+    let mut slow = program.client();
+    let rows = "x".repeat(47_999) + "\n";
+    // Its answers pile up until nothing more is read from it, or it is cut off.
+    'full: for round in 0..8 {
+        for i in 100..132 {
+            if !slow.try_ask(round * 32 + i, "lookup", 9000) {
+                break 'full;
+            }
+        }
+        for _ in 0..32 {
+            let Some(seen) = engines.soon() else { break 'full };
+            seen.says("HIT", "-", &rows);
+        }
+    }
+    client.ask(1, "lookup", 9000);
+    let mut own = engines.next();
+    while own.word(1) != id(1) {
+        own.says("HIT", "-", &rows);
+        own = engines.next();
+    }
+    own.says("HIT", "-", "quick");
+    expect!["1: done quick"].assert_eq(&client.next());
+}
+
+/// A configuration that can't be used ends the start with one line that names the field.
+#[test]
+fn a_wrong_configuration_is_named() {
+    let engines = Engines::start(1);
+    let good = config(&engines, "127.0.0.1:1");
+    let changes: [(&str, Json); 10] = [
+        ("/seed", json!("xyz")),
+        ("/seed", Json::Null),
+        ("/listen", json!("here")),
+        ("/bus", json!(7)),
+        ("/limits/sockets", json!(-1)),
+        ("/limits/sockets", json!(60)),
+        ("/known/offset", Json::Null),
+        ("/known/batch", json!([{"offset": 1}])),
+        ("/settings/Classes", json!([])),
+        ("/settings", Json::Null),
+    ];
+    let mut trace = String::new();
+    for (field, value) in changes {
+        let mut config = good.clone();
+        *config.pointer_mut(field).unwrap() = value;
+        let output = Program::command(&config).output().unwrap();
+        trace += &format!("{} {}", output.status, String::from_utf8_lossy(&output.stderr));
+    }
+    expect![[r#"
+        exit status: 1 pebblevane: configuration: field seed is "xyz", a hexadecimal number is wanted
+        exit status: 1 pebblevane: configuration: field seed is missing, a string is wanted
+        exit status: 1 pebblevane: configuration: field listen is "here", an address with a port is wanted
+        exit status: 1 pebblevane: configuration: field bus is 7, a string is wanted
+        exit status: 1 pebblevane: limits: field sockets is -1, a whole number is wanted
+        exit status: 1 pebblevane: limits: field sockets is 60, at least 100 is wanted
+        exit status: 1 pebblevane: known: field offset is missing, a whole number is wanted
+        exit status: 1 pebblevane: configuration: field known: event: field topology is missing, an object is wanted
+        exit status: 1 pebblevane: settings: field Classes is missing or empty, reservation types are wanted
+        exit status: 1 pebblevane: configuration: field settings is missing, an object is wanted
+    "#]].assert_eq(&trace);
+}
+
+/// The group of tables decides the engine: the same schema keeps to its own, however the statement is worded.
+#[test]
+fn statements_on_one_group_of_tables_keep_together() {
+    let (engines, bus) = (Engines::start(6), Bus::start());
+    let program = Program::start(&engines, &bus);
+    let mut client = program.client();
+    let mut met: BTreeMap<usize, u32> = BTreeMap::new();
+    for message in 0..12 {
+        let statement = format!("select '{message}' -- crm_{message}.x\n from \"sales_17\".orders");
+        client.write(&job(message, "lookup", &[("i", &id(message)), ("d", "9000")], &statement));
+        let seen = engines.next();
+        seen.says("HIT", "-", "");
+        client.next();
+        *met.entry(seen.engine).or_default() += 1;
+    }
+    assert!(met.len() <= 2, "a hashed pair has two engines: {met:?}");
+}
