--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -71,11 +71,12 @@
     });
     let listener = TcpListener::bind(config.listen)
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
+    let listens = listener.local_addr().map_err(cannot("listen"))?;
     thread("clients", STACK, move || clients::accept(&door, &listener)).map_err(cannot("start a thread"))?;
     let (follower, address, offset, seed) = (desk.clone(), config.bus, config.offset, config.seed);
     thread("event bus", STACK, move || bus::follow(&follower, address, offset, seed))
         .map_err(cannot("start a thread"))?;
-    tracing::info!("{} listens on {}", config.name, config.listen);
+    tracing::info!("{} listens on {listens}", config.name);
     thread("counts", STACK, || {
         loop {
             std::thread::sleep(COUNTS_EVERY);
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -72,8 +72,7 @@
     }
     /// Lists an engine at an address where nobody listens.
     pub fn add_dead(&mut self) {
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        self.addresses.push(address.to_string());
+        self.addresses.push("127.0.0.1:1".to_string());
     }
     /// The next line that any engine reads, but for probes, which are answered.
     pub fn next(&self) -> Seen {
@@ -143,7 +142,8 @@
                 let _ = BufReader::new(&stream).read_line(&mut line);
                 let (mut to, beats) = (stream.try_clone().unwrap(), beats.clone());
                 std::thread::spawn(move || {
-                    while writeln!(to, "{{\"offset\":{}}}", beats.load(SeqCst)).is_ok() {
+                    while to.write_all(format!("{{\"offset\":{}}}\n", beats.load(SeqCst)).as_bytes()).is_ok()
+                    {
                         std::thread::sleep(Duration::from_millis(300));
                     }
                 });
@@ -162,11 +162,11 @@
         if self.open.is_none() {
             self.asked();
         }
-        writeln!(self.open.as_ref().unwrap(), "{line}").unwrap();
+        self.open.as_ref().unwrap().write_all(format!("{line}\n").as_bytes()).unwrap();
     }
     pub fn event(&mut self, offset: u64, reset: bool, entries: Vec<Json>) {
-        self.last.fetch_max(offset, SeqCst);
         self.says(&event(offset, reset, entries).to_string());
+        self.last.fetch_max(offset, SeqCst);
     }
     pub fn cut(&mut self) {
         let _ = self.open.take().expect("the bus has a connection").shutdown(Shutdown::Both);
@@ -202,7 +202,7 @@
         "known": {"offset": 1, "batch": [event(1, true, known)]},
         "settings": {"Classes": [class("lookup", "read_like"), class("load", "non_idempotent")],
             "Balancers": 1, "Tick": 5.0, "Zones": ["east"], "Flavors": ["std"], "MembershipMode": "push",
-            "Extra": {"CpuOfKind": [8], "ClassThreads": [1, 1], "RanksHeeded": true, "Progress": 1000.0},
+            "Extra": {"CpuOfKind": [64], "ClassThreads": [1, 1], "RanksHeeded": true, "Progress": 1000.0},
             "Report": {"How": "pull", "Names": ["load_share"]},
             "Ceilings": {"Cancelling": true, "Probes": false, "TryLimit": 5, "StreamsPerConn": 32,
                 "DialTimeout": 250.0, "ConnIdle": 15000.0}}})
@@ -222,13 +222,14 @@
         Program::with(config(engines, &bus.address))
     }
     pub fn with(mut config: Json) -> Program {
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-        config["listen"] = json!(address);
-        let child = Program::command(&config).stdout(Stdio::null()).spawn().unwrap();
-        let program = Program { child, address };
-        while TcpStream::connect(&program.address).is_err() {
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        config["listen"] = json!("127.0.0.1:0");
+        let mut child = Program::command(&config).stdout(Stdio::piped()).spawn().unwrap();
+        let log = BufReader::new(child.stdout.take().unwrap());
+        let mut lines = log.lines().map_while(Result::ok);
+        let told = lines.find_map(|line| Some(line.split_once(" listens on ")?.1.to_string()));
+        // The rest of the log is read so that the program never waits for it.
+        std::thread::spawn(move || lines.for_each(drop));
+        let program = Program { child, address: told.expect("the program has ended") };
         let mut client = program.client();
         client.is_well(1);
         assert_eq!(client.next(), "1: well true");
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -85,10 +85,12 @@
     let mut trace = vec![client.next()];
     client.write(&(2..=32).flat_map(request).collect::<Vec<u8>>());
     let mut seen: Vec<Seen> = (2..=32).map(|_| engines.next()).collect();
+    assert!(seen.iter().all(|seen| seen.word(0) == "REQ"));
     // Answers may come in any order.
     seen.reverse();
     seen.iter().for_each(|seen| seen.says("HIT", "-", ""));
     let mut answers: Vec<String> = (2..=32).map(|_| client.next()).collect();
+    assert!(answers.iter().all(|answer| answer.ends_with(": done ")));
     answers.sort();
     answers.dedup();
     trace.push(format!("{} answers", answers.len()));
@@ -310,7 +312,8 @@
 #[test]
 fn the_event_bus_is_followed_through_its_troubles() {
     let mut engines = Engines::start(2);
-    let away = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    // An address of its own, so that nobody else is given the port meanwhile.
+    let away = std::net::TcpListener::bind("127.0.0.77:0").unwrap().local_addr().unwrap().to_string();
     let mut only_first = config(&engines, &away);
     only_first["known"]["batch"] =
         json!([event(1, true, vec![entry("e0", &engines.addresses[0], "in_service")])]);
