--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -19,6 +19,7 @@
 const STEPS: usize = 32; // steps that wait for one job: more than its dispatches, recalls and answer make
 
 /// What the module's thread is asked to do.
+#[derive(Debug)]
 enum Call {
     Take { id: JobId, job: Job, arrived: Moment, steps: Sender<Step> },
     Settle { id: JobId, copy: u32, outcome: Outcome },
@@ -179,6 +180,7 @@
     }
 
     fn answer(&mut self, now: Moment, call: Call) {
+        tracing::trace!("{call:?}");
         let decided = match call {
             Call::Take { id, mut job, arrived, steps } => {
                 job.left = job.left + (arrived - now);
@@ -211,6 +213,9 @@
     }
 
     fn carry_out(&mut self, decided: Decided) {
+        if decided != (Decided { next_wake: decided.next_wake, ..Decided::default() }) {
+            tracing::trace!("{decided:?}");
+        }
         for (id, copy) in decided.recalls {
             if let Some(open) = self.jobs.get(&id) {
                 open.tell(Step::Recall { copy });
@@ -275,7 +280,7 @@
             all.extend(event.engines.into_iter().map(|entry| (entry.name.clone(), entry)));
         }
         let engines = all.into_values().collect();
-        self.listed(clock::now(), Event { offset: 0, complete: true, engines });
+        self.listed(clock::now(), Event { offset: 0, complete: true, engines, odd: vec![] });
     }
 
     fn listed(&mut self, now: Moment, event: Event) {
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -17,10 +17,10 @@
 
 pub fn follow(desk: &Arc<Desk>, address: SocketAddr, mut last: u64, seed: u64) {
     let mut spread = seed | 1;
-    let mut pause = PAUSE_MS;
+    let (mut pause, mut gap) = (PAUSE_MS, None);
     loop {
         let before = last;
-        let why = listen(desk, address, &mut last);
+        let why = listen(desk, address, &mut last, &mut gap);
         tracing::info!("event bus: {why}; the last event is {last}");
         desk.list_lost();
         pause = if last > before { PAUSE_MS } else { (pause * 2).min(LONGEST_PAUSE_MS) };
@@ -31,7 +31,7 @@
 }
 
 /// Reads one connection to its end; says why it ended.
-fn listen(desk: &Desk, address: SocketAddr, last: &mut u64) -> String {
+fn listen(desk: &Desk, address: SocketAddr, last: &mut u64, gap: &mut Option<u64>) -> String {
     let connected = TcpStream::connect_timeout(&address, CONNECT).and_then(|mut stream| {
         stream.set_read_timeout(Some(SILENCE))?;
         stream.set_write_timeout(Some(CONNECT))?;
@@ -55,11 +55,18 @@
             Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
             Ok(Line::Beat(_)) => {}
             Ok(Line::Event(event)) if event.offset <= *last => {}
-            Ok(Line::Event(event)) if event.offset > *last + 1 && !event.complete => {
+            // Where the same gap comes again, what is missing can't be had: better to miss it than all that follows.
+            Ok(Line::Event(event))
+                if event.offset > *last + 1 && !event.complete && gap.replace(*last) != Some(*last) =>
+            {
                 return format!("event {} came after {last}", event.offset);
             }
             Ok(Line::Event(event)) => {
                 *last = event.offset;
+                for why in &event.odd {
+                    counts::ODD_EVENTS.add();
+                    tracing::warn!("event bus: an entry of event {last} is passed over: {why}");
+                }
                 desk.listed(event);
             }
             Err(why) => {
--- a/crates/server/src/service/config.rs
+++ b/crates/server/src/service/config.rs
@@ -39,9 +39,12 @@
             None => address("configuration", "listen", fields.text("listen")?)?,
         };
         let known = fields.object("known")?;
+        let in_known = |why: String| format!("configuration: field known: {why}");
         let events = known.list("batch")?.iter().map(bus::event);
-        let events =
-            events.collect::<Told<_>>().map_err(|why| format!("configuration: field known: {why}"))?;
+        let events = events.collect::<Told<Vec<Event>>>().map_err(in_known)?;
+        if let Some(why) = events.iter().flat_map(|event| &event.odd).next() {
+            return Err(in_known(why.clone()));
+        }
         let limits = fields.object("limits")?;
         let flat = settings(fields.object("settings")?.json);
         if flat.entries("Classes", "Name") == 0 || flat.entries("Classes", "Aim") == 0 {
--- a/crates/server/src/wire/bus.rs
+++ b/crates/server/src/wire/bus.rs
@@ -18,6 +18,8 @@
     /// The whole list, not only what has changed.
     pub complete: bool,
     pub engines: Vec<Entry>,
+    /// What is wrong with entries that can't be used.
+    pub odd: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -47,13 +49,14 @@
 pub fn event(json: &Json) -> Told<Event> {
     let event = Fields { name: "event", json };
     let topology = event.object("topology")?;
-    let engines = topology.list("instances")?.iter();
-    let engines = engines.map(|json| entry(Fields { name: "instances", json }));
-    Ok(Event {
-        offset: event.whole("offset")?,
-        complete: topology.flag("reset")?,
-        engines: engines.collect::<Told<_>>()?,
-    })
+    let (mut engines, mut odd) = (Vec::new(), Vec::new());
+    for json in topology.list("instances")? {
+        match entry(Fields { name: "instances", json }) {
+            Ok(entry) => engines.push(entry),
+            Err(why) => odd.push(why),
+        }
+    }
+    Ok(Event { offset: event.whole("offset")?, complete: topology.flag("reset")?, engines, odd })
 }
 
 fn entry(entry: Fields) -> Told<Entry> {
