No recall from behind a load to where loads are; one who waited and is done shows free tables

A trace of calls and decisions showed 2,000 of 2,400 recalls to be lookups sent from one load's tables to the next's within 5 ms, until their tries were used up; 320 lookups then stood on engines until their clients left and filled the bounds. Lines at fault: reconsider, which recalled whatever the other engines were known to hold. When it may hurt: where a load ends much sooner than loads usually do.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -141,10 +141,8 @@
         let (running, id) = (|| self.engines.iter().filter(runs), |(id, _): (&usize, &Engine)| *id);
         self.running = running().map(id).collect();
         self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
-        self.cold = running()
-            .filter(|(_, engine)| engine.whole && engine.listing.ready_at.is_some())
-            .map(id)
-            .collect();
+        let cold = |(_, engine): &(&usize, &Engine)| engine.whole && engine.listing.ready_at.is_some();
+        self.cold = running().filter(cold).map(id).collect();
         self.orders.clear();
         self.place_waiting();
         self.finish()
@@ -662,8 +660,7 @@
             if engine.shunned_until.max(engine.full_until) > self.now || tried || !self.may_go_to(id, e) {
                 continue;
             }
-            let held_there = engine.loads.contains(&group)
-                || engine.holds.get(&group).is_some_and(|until| *until > self.now);
+            let held_there = engine.held(group, now);
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
             let tier = if last { 2 } else { usize::from(held_there && (kind.waits || kind.holds)) };
             if open.iter().map(Vec::len).sum::<usize>() >= depth {
@@ -800,6 +797,9 @@
                     held.bare = work.ms() / kind.threads;
                 }
                 let took = outcome.took.ms();
+                if out.waited {
+                    engine.holds.remove(&held.job.group);
+                }
                 if !out.spilled {
                     kind.grant = (kind.grant * GRANT_DOWN).max(1.0);
                 }
@@ -889,7 +889,10 @@
             && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
         let remaining = if out.share > 0.0 && !out.waited { age / out.share - age } else { f64::INFINITY };
         let time = (held.sla_ends - self.now).ms();
-        if !silent && fresh < time && remaining > time.max(2.0 * fresh) {
+        // Behind a load there is no use in going where other loads hold the same tables.
+        let free = |e: &usize| *e != out.engine && !self.engines[e].held(held.job.group, self.now);
+        let elsewhere = !out.waited || self.running.iter().any(free);
+        if !silent && elsewhere && fresh < time && remaining > time.max(2.0 * fresh) {
             self.recall(id);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -256,6 +256,10 @@
 }
 
 impl Engine {
+    /// Whether a load is known to hold these tables here.
+    pub fn held(&self, group: u64, now: Moment) -> bool {
+        self.loads.contains(&group) || self.holds.get(&group).is_some_and(|until| *until > now)
+    }
     /// Counts a job that goes out to it, and one that comes back.
     pub fn leaves(&mut self, id: JobId, job: &Job, kind: &Reservation, memory: f64) {
         self.threads += kind.threads;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -537,3 +537,51 @@
     }
     expect!["[15, 5]"].assert_eq(&format!("{sent:?}"));
 }
+
+/// Readers behind a load used up all their tries where loads held the tables everywhere, and then stood on
+/// engines until their clients left: recalled only while an engine is not known to be held.
+#[test]
+fn no_recall_from_behind_a_load_to_where_loads_are() {
+    let mut desk = Desk::new(&[("Extra.Progress", 1000.0)], 2);
+    let first = desk.take(LOOKUP, 11, None);
+    desk.note_on(first, 0, Note::WaitsForLoad);
+    desk.settle(first, 0, Verdict::Withdrawn, 1.0);
+    desk.note_on(first, 1, Note::WaitsForLoad);
+    desk.pass(100.0);
+    // It waited there and is done: the tables are free on that engine.
+    desk.settle(first, 1, Verdict::Done, 100.0);
+    let second = desk.take(LOOKUP, 11, None);
+    desk.settle(second, 0, Verdict::Done, 50.0);
+    same(desk, expect![[r#"
+        0     list [0 Running, 1 Running]:
+        0     take 0: send 0 to 0
+        0     WaitsForLoad 0.0: recall 0.0
+        0     Withdrawn 0.0: send 0 to 1
+        0     WaitsForLoad 0.1:
+        100   Done 0.1:
+        100   take 1: send 1 to 1
+        100   Done 1.0:
+    "#]]);
+}
+
+/// Before a planned stop each job gets its answer; what can't be done in time is given up at once.
+#[test]
+fn a_planned_stop_answers_every_job() {
+    let mut desk = Desk::new(&[], 1);
+    desk.take(LOOKUP, 11, None);
+    desk.take(POST, 12, None);
+    desk.stop(300.0);
+    desk.take(LOOKUP, 13, None);
+    desk.pass(250.0);
+    desk.take(LOOKUP, 14, None);
+    desk.pass(50.0);
+    same(desk, expect![[r#"
+        0     list [0 Running]:
+        0     take 0: send 0 to 0
+        0     take 1: send 1 to 0
+        0     stopping:
+        0     take 2: send 2 to 0
+        250   take 3: throttle 3
+        290   : recall 0.0, recall 1.0, recall 2.0, throttle 0, cancel 1, throttle 2
+    "#]]);
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -142,6 +142,10 @@
         let decided = self.logic.progress(self.moment(), JobId(job), copy, note);
         self.note(&format!("{note:?} {job}.{copy}"), decided);
     }
+    pub fn stop(&mut self, within: f64) {
+        let decided = self.logic.stopping(self.moment(), Moment::from_ms(self.now + within));
+        self.note("stopping", decided);
+    }
     /// Lets time pass, waking the module every five milliseconds as the clock would.
     pub fn pass(&mut self, ms: f64) {
         let until = self.now + ms;
