--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -343,16 +343,14 @@
             if let Some(old) = self.engines.remove(&id) {
                 old.engine.gone();
             }
+            // Whoever had a new engine's address before has gone, whether or not that was told.
+            for old in self.engines.values().filter(|old| old.address == address && stage == Stage::Running) {
+                old.engine.gone();
+            }
             let (name, sockets) = (self.numbers.name(id), self.sockets.clone());
             let engine = Engine::start(name, address, self.terms, sockets, clock::now)?;
             self.engines.insert(id, Known { engine, address, started, stage });
         }
-        // Whoever had the address before has gone, whether or not that was told.
-        for (_, old) in self.engines.iter().filter(|(old, known)| **old != id && known.address == address) {
-            if stage != Stage::Gone {
-                old.engine.gone();
-            }
-        }
         let known = &self.engines[&id];
         known.engine.open(stage == Stage::Running);
         if stage == Stage::Gone {
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -18,7 +18,7 @@
 const LINES: usize = 512; // lines that wait for one connection's writer
 const WORDS: usize = 32; // words of an engine that wait for one job
 const CONNECTIONS: usize = 24; // to one engine
-const SPENT: usize = 2048; // ids that one connection remembers as used up
+const SPENT: usize = 2048; // ids used up on one connection, after which it takes nothing new
 const SWEEP: Duration = Duration::from_secs(1); // pace of looking for idle connections
 
 /// What the settings say of connections.
@@ -289,6 +289,7 @@
         let (streams, idle) = (self.terms.streams, self.terms.idle);
         let free = self.connections.iter_mut().find(|(_, connection)| {
             connection.ids.len() < streams
+                && connection.spent.len() < SPENT
                 && !connection.spent.contains(&entry.id)
                 && !connection.ids.contains_key(&entry.id)
                 && (!connection.ids.is_empty() || connection.idle_since.elapsed() < idle)
@@ -442,7 +443,7 @@
             Some(connection) => {
                 connection.ids.remove(&entry.id);
                 connection.idle_since = Instant::now();
-                if spent && connection.spent.len() < SPENT {
+                if spent {
                     connection.spent.insert(entry.id.clone());
                 }
             }
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -42,16 +42,16 @@
         Ok(stream) => BufReader::new(stream),
         Err(e) => return format!("cannot connect: {e}"),
     };
-    let mut text = String::new();
+    let mut bytes = Vec::new();
     loop {
-        text.clear();
-        match stream.by_ref().take(LONGEST_LINE).read_line(&mut text) {
+        bytes.clear();
+        match stream.by_ref().take(LONGEST_LINE).read_until(b'\n', &mut bytes) {
             Ok(0) => return "the connection ended".to_string(),
-            Ok(_) if !text.ends_with('\n') => return "a line was cut or is too long".to_string(),
+            Ok(_) if !bytes.ends_with(b"\n") => return "a line was cut or is too long".to_string(),
             Ok(_) => {}
             Err(e) => return format!("no line came in time: {e}"),
         }
-        match bus::line(&text) {
+        match bus::line(&String::from_utf8_lossy(&bytes)) {
             Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
             Ok(Line::Beat(_)) => {}
             Ok(Line::Event(event)) if event.offset <= *last => {}
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -162,7 +162,10 @@
         if self.open.is_none() {
             self.asked();
         }
-        self.open.as_ref().unwrap().write_all(format!("{line}\n").as_bytes()).unwrap();
+        self.says_raw(format!("{line}\n").as_bytes());
+    }
+    pub fn says_raw(&mut self, bytes: &[u8]) {
+        self.open.as_ref().unwrap().write_all(bytes).unwrap();
     }
     pub fn event(&mut self, offset: u64, reset: bool, entries: Vec<Json>) {
         self.says(&event(offset, reset, entries).to_string());
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -332,6 +332,7 @@
     let mut bus = Bus::listen(&away, 1);
     trace += &format!("{}\n", bus.asked());
     bus.says("nonsense");
+    bus.says_raw(b"\xff\xfe\n");
     bus.event(1, true, vec![]);
     bus.event(2, false, vec![json!({"instanceId": 7}), entry("e1", &engines.addresses[1], "in_service")]);
     bus.event(2, false, vec![entry("e1", &engines.addresses[1], "terminated")]);
@@ -586,3 +587,19 @@
     own.says("HIT", "-", "");
     assert_eq!(client.next(), format!("{message}: done "));
 }
+
+/// A new engine has the address of one that is still listed: the old one gets nothing more, and what is told of
+/// the old one later does not touch the new one.
+#[test]
+fn a_new_engine_takes_over_an_address() {
+    let (engines, mut bus, _program, mut client) = one_engine();
+    bus.event(2, false, vec![entry("e1", &engines.addresses[0], "in_service")]);
+    bus.event(3, false, vec![entry("e0", &engines.addresses[0], "terminating")]);
+    bus.cut();
+    assert_eq!(bus.asked(), "from 3");
+    for message in 1..=4 {
+        client.ask(message, "load", 9000);
+        engines.next().says("HIT", "-", "");
+        assert_eq!(client.next(), format!("{message}: done "));
+    }
+}
