Loads stand behind loads before they take the last free engine from readers of their tables

A trace showed loads of the busiest group on all four engines at once, ten at a time, so that its readers stood behind loads everywhere and filled the bounds. Ruled out: bills in other units, groups read wrongly, late or empty load reports. Line at fault: the tier in choose, which sent a load to any engine where none of its group was. Should also hold against any few engines with one hot group; may hurt where loads are worth more than their readers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,8 +3,8 @@
 //! How to call it: [`Logic::new`] takes the settings and a seed; then [`Logic::engines_changed`] tells the
 //! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a
 //! dispatch fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked
-//! for; [`Logic::stopping`] announces the end. Each returns a [`Decided`], to be carried out in its order. The types are in `interface.rs`; why
-//! things are decided so is told in `docs/design.md`.
+//! for; [`Logic::stopping`] announces the end. Each returns a [`Decided`], to be carried out in its order.
+//! The types are in `interface.rs`; why things are decided so is told in `docs/design.md`.
 
 use crate::interface::*;
 use crate::state::*;
@@ -645,7 +645,7 @@
         let zone = self.settings.number("Zone").unwrap_or(0.0);
         // Loads walk the order from its far end, so that readers seldom meet them, and begin anywhere there
         // where other gateways' loads can't be known in time. The walk ends with two engines that nothing
-        // speaks against; then come those where a load holds this group, the one just tried, those on trial.
+        // speaks against; then those that a load holds (to loads also their readers' first), then the last tried.
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
@@ -662,7 +662,8 @@
             }
             let held_there = engine.held(group, now);
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
-            let tier = if last { 2 } else { usize::from(held_there && (kind.waits || kind.holds)) };
+            let home = kind.holds && order.first() == Some(&e);
+            let tier = if last { 2 } else { usize::from(home || held_there && (kind.waits || kind.holds)) };
             if open.iter().map(Vec::len).sum::<usize>() >= depth {
                 break;
             }
@@ -868,9 +869,8 @@
         if held.over {
             return;
         }
-        let again = self.again(held);
-        let useful = self.now + Span::from_ms(held.bare) < held.sla_ends;
-        if verdict != Verdict::Void && again && useful { self.place(id) } else { self.give_up(id) }
+        let useful = self.again(held) && self.now + Span::from_ms(held.bare) < held.sla_ends;
+        if verdict != Verdict::Void && useful { self.place(id) } else { self.give_up(id) }
     }
 
     /// A recall of a restartable job that is stuck, where a fresh dispatch would still meet its SLA time and
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -752,3 +752,27 @@
     "#]],
     );
 }
+
+/// Loads of one hot group took every engine, so that its readers found all of them held: they leave the first
+/// engine of their readers free and stand behind each other.
+#[test]
+fn loads_leave_their_readers_an_engine() {
+    let mut desk = Desk::new(&[], 4);
+    (0..5).for_each(|_| drop(desk.take(LOAD, 11, None)));
+    (0..4).for_each(|_| drop(desk.take(LOOKUP, 11, None)));
+    same(
+        desk,
+        expect![[r#"
+        0     list [0 Running, 1 Running, 2 Running, 3 Running]:
+        0     take 0: send 0 to 2
+        0     take 1: send 1 to 0
+        0     take 2: send 2 to 3
+        0     take 3: send 3 to 0
+        0     take 4: send 4 to 2
+        0     take 5: send 5 to 1
+        0     take 6: send 6 to 1
+        0     take 7: send 7 to 1
+        0     take 8: send 8 to 1
+    "#]],
+    );
+}
