--- a/src/logic.rs
+++ b/src/logic.rs
@@ -645,7 +645,7 @@
         let zone = self.settings.number("Zone").unwrap_or(0.0);
         // Loads walk the order from its far end, so that readers seldom meet them, and begin anywhere there
         // where other gateways' loads can't be known in time. The walk ends with two engines that nothing
-        // speaks against; then those that a load holds (to loads also their readers' first), then the last tried.
+        // speaks against; then those a load holds (to loads also their readers' first), then the last tried.
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -758,8 +758,12 @@
 #[test]
 fn loads_leave_their_readers_an_engine() {
     let mut desk = Desk::new(&[], 4);
-    (0..5).for_each(|_| drop(desk.take(LOAD, 11, None)));
-    (0..4).for_each(|_| drop(desk.take(LOOKUP, 11, None)));
+    for _ in 0..5 {
+        desk.take(LOAD, 11, None);
+    }
+    for _ in 0..4 {
+        desk.take(LOOKUP, 11, None);
+    }
     same(
         desk,
         expect![[r#"
