--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -9,8 +9,8 @@
 
 use memory::budget::Budget;
 use service::config::Config;
-use service::{bus, clients, clock, stop};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use service::{bus, clients, clock, reload, stop};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -41,7 +41,10 @@
         eprintln!("pebblevane: {info}");
         std::process::abort();
     }));
-    match Config::read(|name| std::env::var(name).ok()).and_then(run) {
+    // Signals are waited for before anything starts: none may end the program unheard.
+    let signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot wait for signals: {e}"));
+    match signals.and_then(|signals| run(signals, Config::read(environment)?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(trouble) => {
             eprintln!("pebblevane: {trouble}");
@@ -50,15 +53,24 @@
     }
 }
 
-fn run(config: Config) -> Result<(), String> {
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn run(mut signals: Signals, mut config: Config) -> Result<(), String> {
     let cannot = |what: &'static str| move |e: std::io::Error| format!("cannot {what}: {e}");
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(cannot("wait for signals"))?;
     let (types, terms) = (config.types(), config.terms());
-    let for_clients = config.sockets / 3;
-    let for_engines = config.sockets.saturating_sub(for_clients + SPARE_SOCKETS);
+    let for_clients = config.limits.sockets / 3;
+    let for_engines = config.limits.sockets.saturating_sub(for_clients + SPARE_SOCKETS);
     let sockets = Budget::new(for_engines);
-    let desk = desk::Desk::start(config.settings, config.seed, config.known, terms, sockets)
-        .map_err(cannot("start the module's thread"))?;
+    let desk = desk::Desk::start(
+        config.settings.clone(),
+        config.seed,
+        std::mem::take(&mut config.known),
+        terms,
+        sockets,
+    )
+    .map_err(cannot("start the module's thread"))?;
     let health = Arc::new(stop::Health::default());
     let door = Arc::new(clients::Door {
         desk: desk.clone(),
@@ -73,8 +85,9 @@
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
     let listens = listener.local_addr().map_err(cannot("listen"))?;
     thread("clients", STACK, move || clients::accept(&door, &listener)).map_err(cannot("start a thread"))?;
-    let (follower, address, offset, seed) = (desk.clone(), config.bus, config.offset, config.seed);
-    thread("event bus", STACK, move || bus::follow(&follower, address, offset, seed))
+    let bus = Arc::new(bus::Bus::new(config.bus));
+    let (follower, teller, offset, seed) = (bus.clone(), desk.clone(), config.offset, config.seed);
+    thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
         .map_err(cannot("start a thread"))?;
     tracing::info!("{} listens on {listens}", config.name);
     thread("counts", STACK, || {
@@ -84,7 +97,9 @@
         }
     })
     .map_err(cannot("start a thread"))?;
-    signals.forever().next();
+    while signals.forever().next() == Some(SIGHUP) {
+        reload::reload(&mut config, Config::read(environment), &bus);
+    }
     stop::drain(&desk, &health);
     Ok(())
 }
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -1,55 +1,128 @@
 //! Follows the event bus: connects, asks for what comes after the last event it has, and reads on. A gap, a
-//! connection that falls silent or one that ends leads to a new one after a spread pause.
+//! connection that falls silent or one that ends leads to a new one, and so does a new address.
 
 use crate::desk::Desk;
 use crate::memory::counts;
 use crate::wire::bus::{self, Line};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::time::Duration;
+use crossbeam_channel::{Receiver, Sender, bounded};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-const CONNECT: Duration = Duration::from_secs(1);
-const SILENCE: Duration = Duration::from_millis(2500); // two heartbeats and a half
+const CONNECT: Duration = Duration::from_millis(800);
+const SILENCE: Duration = Duration::from_millis(2200); // two heartbeats and a bit, for a whole line
 const PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
-const LONGEST_LINE: u64 = 4 * 1024 * 1024;
+const LONGEST_LINE: usize = 1024 * 1024;
 
-pub fn follow(desk: &Arc<Desk>, address: SocketAddr, mut last: u64, seed: u64) {
-    let mut spread = seed | 1;
-    let (mut pause, mut gap) = (PAUSE_MS, None);
-    loop {
-        let before = last;
-        let why = listen(desk, address, &mut last, &mut gap);
-        tracing::info!("event bus: {why}; the last event is {last}");
-        desk.list_lost();
-        pause = if last > before { PAUSE_MS } else { (pause * 2).min(LONGEST_PAUSE_MS) };
-        // Workload managers that lost the bus together do not come back together.
-        spread = spread.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        std::thread::sleep(Duration::from_millis(pause / 2 + (spread >> 33) % pause));
-    }
+/// Where the bus is, and the connection to it. The address may change while the program runs.
+pub struct Bus {
+    at: Mutex<At>,
+    moved: (Sender<()>, Receiver<()>),
 }
 
-/// Reads one connection to its end; says why it ended.
-fn listen(desk: &Desk, address: SocketAddr, last: &mut u64, gap: &mut Option<u64>) -> String {
-    let connected = TcpStream::connect_timeout(&address, CONNECT).and_then(|mut stream| {
-        stream.set_read_timeout(Some(SILENCE))?;
+struct At {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+}
+
+impl Bus {
+    pub fn new(address: SocketAddr) -> Bus {
+        Bus { at: Mutex::new(At { address, stream: None }), moved: bounded(1) }
+    }
+
+    fn at(&self) -> MutexGuard<'_, At> {
+        self.at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Leaves the old address at once, whether the follower reads, connects or pauses.
+    pub fn move_to(&self, address: SocketAddr) {
+        let mut at = self.at();
+        if at.address == address {
+            return;
+        }
+        at.address = address;
+        if let Some(stream) = at.stream.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let _ = self.moved.0.try_send(());
+    }
+
+    fn connect(&self, last: u64) -> std::io::Result<TcpStream> {
+        let address = self.at().address;
+        let mut stream = TcpStream::connect_timeout(&address, CONNECT)?;
         stream.set_write_timeout(Some(CONNECT))?;
         stream.write_all(format!("from {last}\n").as_bytes())?;
+        let mut at = self.at();
+        if at.address != address {
+            return Err(std::io::Error::other("the address has changed meanwhile"));
+        }
+        at.stream = Some(stream.try_clone()?);
         Ok(stream)
-    });
+    }
+
+    pub fn follow(&self, desk: &Desk, mut last: u64, seed: u64) {
+        let mut spread = seed | 1;
+        let (mut pause, mut gap) = (PAUSE_MS, None);
+        loop {
+            let (before, begun) = (last, Instant::now());
+            let why = listen(desk, self.connect(last), &mut last, &mut gap);
+            self.at().stream = None;
+            tracing::info!("event bus: {why}; the last event is {last}");
+            desk.list_lost();
+            // A connection that served for a while is made anew at once: what it would have told counts as told soon.
+            let served = last > before || begun.elapsed() > SILENCE;
+            pause = if served { PAUSE_MS } else { (pause * 2).min(LONGEST_PAUSE_MS) };
+            // Workload managers that lost the bus together do not come back together.
+            spread = spread.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let pause_ms = pause / 2 + (spread >> 33) % pause;
+            if self.moved.1.recv_timeout(Duration::from_millis(pause_ms)).is_ok() {
+                pause = PAUSE_MS;
+            }
+        }
+    }
+}
+
+/// Reads one line within the time that the bus may be silent, however slowly its bytes come.
+fn read_line(stream: &mut BufReader<TcpStream>, bytes: &mut Vec<u8>) -> Result<(), String> {
+    bytes.clear();
+    let due = Instant::now() + SILENCE;
+    loop {
+        let left = due.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+        stream.get_ref().set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
+        let piece = stream.fill_buf().map_err(|e| format!("no line came in time: {e}"))?;
+        if piece.is_empty() {
+            return Err("the connection ended".to_string());
+        }
+        let end = piece.iter().position(|byte| *byte == b'\n');
+        let count = end.map_or(piece.len(), |at| at + 1);
+        bytes.extend_from_slice(&piece[..count]);
+        stream.consume(count);
+        if end.is_some() {
+            return Ok(());
+        }
+        if bytes.len() > LONGEST_LINE || Instant::now() >= due {
+            return Err("a line does not come to its end".to_string());
+        }
+    }
+}
+
+/// Reads one connection to its end; says why it ended.
+fn listen(
+    desk: &Desk,
+    connected: std::io::Result<TcpStream>,
+    last: &mut u64,
+    gap: &mut Option<u64>,
+) -> String {
     let mut stream = match connected {
         Ok(stream) => BufReader::new(stream),
         Err(e) => return format!("cannot connect: {e}"),
     };
     let mut bytes = Vec::new();
     loop {
-        bytes.clear();
-        match stream.by_ref().take(LONGEST_LINE).read_until(b'\n', &mut bytes) {
-            Ok(0) => return "the connection ended".to_string(),
-            Ok(_) if !bytes.ends_with(b"\n") => return "a line was cut or is too long".to_string(),
-            Ok(_) => {}
-            Err(e) => return format!("no line came in time: {e}"),
+        if let Err(why) = read_line(&mut stream, &mut bytes) {
+            return why;
         }
         match bus::line(&String::from_utf8_lossy(&bytes)) {
             Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
--- a/crates/server/src/service/config.rs
+++ b/crates/server/src/service/config.rs
@@ -10,12 +10,14 @@
 
 /// With fewer descriptors nothing is left for engines.
 const FEWEST_SOCKETS: usize = 100;
+/// With less memory nothing is left for jobs.
+const LEAST_MEMORY_MB: usize = 24;
 
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    pub sockets: usize,
+    pub limits: Limits,
     pub bus: SocketAddr,
     /// The number of the last event that `known` holds.
     pub offset: u64,
@@ -23,6 +25,13 @@
     pub settings: Settings,
 }
 
+/// What the program may use.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Limits {
+    pub sockets: usize,
+    pub memory_mb: usize,
+}
+
 impl Config {
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Told<Config> {
         let path = var("NODE_CONFIG").ok_or("NODE_CONFIG is not set, the path of a file is wanted")?;
@@ -46,6 +55,10 @@
             return Err(in_known(why.clone()));
         }
         let limits = fields.object("limits")?;
+        let at_least = |field: &str, least: usize| match limits.whole(field)? as usize {
+            enough if enough >= least => Ok(enough),
+            _ => Err(limits.wrong(field, &format!("at least {least}"))),
+        };
         let flat = settings(fields.object("settings")?.json);
         if flat.entries("Classes", "Name") == 0 || flat.entries("Classes", "Aim") == 0 {
             return Err("settings: field Classes is missing or empty, reservation types are wanted".into());
@@ -58,11 +71,9 @@
             },
             listen,
             seed: u64::from_str_radix(seed, 16).map_err(|_| fields.wrong("seed", "a hexadecimal number"))?,
-            sockets: match limits.whole("sockets")? as usize {
-                few if few < FEWEST_SOCKETS => {
-                    return Err(limits.wrong("sockets", &format!("at least {FEWEST_SOCKETS}")));
-                }
-                enough => enough,
+            limits: Limits {
+                sockets: at_least("sockets", FEWEST_SOCKETS)?,
+                memory_mb: at_least("memory_mb", LEAST_MEMORY_MB)?,
             },
             bus: address("configuration", "bus", fields.text("bus")?)?,
             offset: known.whole("offset")?,
--- a/crates/server/src/service/mod.rs
+++ b/crates/server/src/service/mod.rs
@@ -1,7 +1,8 @@
-//! Configuration, start, drain and stop, and the threads that listen to clients and to the event bus.
+//! Configuration, start, reload, drain and stop, and the threads that listen to clients and to the event bus.
 
 pub mod bus;
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod reload;
 pub mod stop;
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -188,6 +188,8 @@
 /// The program with what it is told at its start. It is killed when the test ends.
 pub struct Program {
     pub child: Child,
+    /// Its configuration.
+    pub file: String,
     pub address: String,
 }
 
@@ -212,13 +214,13 @@
 }
 
 impl Program {
-    pub fn command(config: &Json) -> Command {
+    pub fn command(config: &Json) -> (Command, String) {
         let number = STARTS.fetch_add(1, SeqCst);
         let file = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         std::fs::write(&file, config.to_string()).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_pebblevane"));
-        command.env("NODE_CONFIG", file).env_remove("NODE_NAME").env_remove("NODE_LISTEN");
-        command
+        command.env("NODE_CONFIG", &file).env_remove("NODE_NAME").env_remove("NODE_LISTEN");
+        (command, file)
     }
     /// Starts the program and waits until it is well.
     pub fn start(engines: &Engines, bus: &Bus) -> Program {
@@ -226,13 +228,14 @@
     }
     pub fn with(mut config: Json) -> Program {
         config["listen"] = json!("127.0.0.1:0");
-        let mut child = Program::command(&config).stdout(Stdio::piped()).spawn().unwrap();
+        let (mut command, file) = Program::command(&config);
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
         let log = BufReader::new(child.stdout.take().unwrap());
         let mut lines = log.lines().map_while(Result::ok);
         let told = lines.find_map(|line| Some(line.split_once(" listens on ")?.1.to_string()));
         // The rest of the log is read so that the program never waits for it.
         std::thread::spawn(move || lines.for_each(drop));
-        let program = Program { child, address: told.expect("the program has ended") };
+        let program = Program { child, file, address: told.expect("the program has ended") };
         let mut client = program.client();
         client.is_well(1);
         assert_eq!(client.next(), "1: well true");
@@ -244,9 +247,9 @@
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Client { from: BufReader::new(stream) }
     }
-    pub fn terminate(&self) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
     }
 }
 
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -409,7 +409,7 @@
     let _never = engines.next();
     client.ask(3, "lookup", 9000);
     let _neither = engines.next();
-    program.terminate();
+    program.signal("TERM");
     let mut other = program.client();
     let mut trace = String::new();
     while trace.is_empty() {
@@ -492,13 +492,14 @@
 fn a_wrong_configuration_is_named() {
     let engines = Engines::start(1);
     let good = config(&engines, "127.0.0.1:1");
-    let changes: [(&str, Json); 10] = [
+    let changes: [(&str, Json); 11] = [
         ("/seed", json!("xyz")),
         ("/seed", Json::Null),
         ("/listen", json!("here")),
         ("/bus", json!(7)),
         ("/limits/sockets", json!(-1)),
         ("/limits/sockets", json!(60)),
+        ("/limits/memory_mb", json!(8)),
         ("/known/offset", Json::Null),
         ("/known/batch", json!([{"offset": 1}])),
         ("/settings/Classes", json!([])),
@@ -508,7 +509,7 @@
     for (field, value) in changes {
         let mut config = good.clone();
         *config.pointer_mut(field).unwrap() = value;
-        let output = Program::command(&config).output().unwrap();
+        let output = Program::command(&config).0.output().unwrap();
         trace += &format!("{} {}", output.status, String::from_utf8_lossy(&output.stderr));
     }
     expect![[r#"
@@ -518,6 +519,7 @@
         exit status: 1 pebblevane: configuration: field bus is 7, a string is wanted
         exit status: 1 pebblevane: limits: field sockets is -1, a whole number is wanted
         exit status: 1 pebblevane: limits: field sockets is 60, at least 100 is wanted
+        exit status: 1 pebblevane: limits: field memory_mb is 8, at least 24 is wanted
         exit status: 1 pebblevane: known: field offset is missing, a whole number is wanted
         exit status: 1 pebblevane: configuration: field known: event: field topology is missing, an object is wanted
         exit status: 1 pebblevane: settings: field Classes is missing or empty, reservation types are wanted
@@ -525,6 +527,35 @@
     "#]].assert_eq(&trace);
 }
 
+/// A new configuration moves the event bus and nothing else; one that can't be used changes nothing. The old
+/// bus stays open and silent, and jobs that are open notice nothing.
+#[test]
+fn a_new_configuration_moves_the_event_bus() {
+    let (engines, mut bus, mut new_bus) = (Engines::start(1), Bus::start(), Bus::start());
+    let mut told = config(&engines, &bus.address);
+    told["known"]["batch"][0]["topology"]["instances"][0]["lifecycle"] = json!("terminating");
+    let program = Program::with(told);
+    let mut client = program.client();
+    let good = std::fs::read_to_string(&program.file).unwrap();
+    let mut trace = format!("old: {}\n", bus.asked());
+    client.ask(1, "lookup", 9000);
+    for bad in ["", &good[..good.len() / 2], &good.replace(&bus.address, "nowhere")] {
+        std::fs::write(&program.file, bad).unwrap();
+        program.signal("HUP");
+    }
+    std::fs::write(&program.file, good.replace(&bus.address, &new_bus.address)).unwrap();
+    (0..5).for_each(|_| program.signal("HUP"));
+    trace += &format!("new: {}\n", new_bus.asked());
+    new_bus.event(2, false, vec![entry("e0", &engines.addresses[0], "in_service")]);
+    engines.next().says("HIT", "-", "still here");
+    trace += &client.next();
+    expect![[r#"
+        old: from 1
+        new: from 1
+        1: done still here"#]]
+    .assert_eq(&trace);
+}
+
 /// The group of tables decides the engine: the same schema keeps to its own, however the statement is worded.
 #[test]
 fn statements_on_one_group_of_tables_keep_together() {
