--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -155,6 +155,9 @@
     /// Tells the module how the dispatch ended. What the engine still holds of it is given back first.
     fn settle(&self, at: Running, verdict: Verdict, bill: Option<(Span, f64)>, report: Report) {
         let (copy, took) = (at.copy, clock::now() - at.sent);
+        if matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error) {
+            at.out.give_up();
+        }
         drop(at);
         self.desk.settle(self.id, copy, Outcome { verdict, took, over: false, bill, report });
     }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -59,10 +59,10 @@
 
 fn run(mut signals: Signals, mut config: Config) -> Result<(), String> {
     let cannot = |what: &'static str| move |e: std::io::Error| format!("cannot {what}: {e}");
-    let (types, terms) = (config.types(), config.terms());
+    let types = config.types();
     let for_clients = config.limits.sockets / 3;
     let for_engines = config.limits.sockets.saturating_sub(for_clients + SPARE_SOCKETS);
-    let sockets = Budget::new(for_engines);
+    let (sockets, terms) = (Budget::new(for_engines), config.terms(for_engines));
     let desk = desk::Desk::start(
         config.settings.clone(),
         config.seed,
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -5,7 +5,7 @@
 use crate::memory::counts;
 use crate::wire::bus::{self, Line};
 use crossbeam_channel::{Receiver, Sender, bounded};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -91,7 +91,12 @@
     loop {
         let left = due.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
         stream.get_ref().set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
-        let piece = stream.fill_buf().map_err(|e| format!("no line came in time: {e}"))?;
+        let piece = match stream.fill_buf() {
+            Ok(piece) => piece,
+            // A program that was stopped for a moment, as one with part of a core is, reads on.
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) => return Err(format!("no line came in time: {e}")),
+        };
         if piece.is_empty() {
             return Err("the connection ended".to_string());
         }
--- a/crates/server/src/wire/engine.rs
+++ b/crates/server/src/wire/engine.rs
@@ -4,7 +4,8 @@
 use std::io::{self, BufRead, Read};
 
 const LONGEST_LINE: u64 = 4096;
-const LONGEST_PAYLOAD: usize = 64 * 1024;
+const LONGEST_PAGE: usize = 6_000;
+const COLUMNS: usize = 3;
 
 pub fn request(id: &str, class: &str, limit_ms: i64, rank: Option<u8>, statement: &[u8]) -> Vec<u8> {
     let urgency = rank.map(|rank| format!(",urgency={rank}")).unwrap_or_default();
@@ -66,13 +67,16 @@
     let line = line.ok_or_else(|| odd("a line that is too long, cut or no text"))?;
     let words: Vec<&str> = line.split(' ').collect();
     let [id, word, fields, length] = words[..] else { return Err(odd("a line without four words")) };
-    let length = length.parse::<usize>().ok().filter(|length| *length <= LONGEST_PAYLOAD);
+    let length = length.parse::<usize>().ok().filter(|length| *length <= LONGEST_PAGE);
     let mut page = vec![0; length.ok_or_else(|| odd("a length that is odd or too long"))? + 2];
     from.read_exact(&mut page)?;
     if !page.ends_with(b"\r\n") {
         return Err(odd("a payload that does not end where it should"));
     }
     page.truncate(page.len() - 2);
+    if !is_page(&page) {
+        return Err(odd("a payload that is not made of whole rows"));
+    }
     let get = |name: &str| {
         let fields = fields.split(',').filter_map(|field| field.split_once('='));
         fields.into_iter().find(|(told, _)| *told == name).map(|(_, value)| value)
@@ -110,6 +114,17 @@
     Ok(Some((id.to_string(), word)))
 }
 
+/// Whole rows of text, a tab between columns and a line feed after each row.
+fn is_page(page: &[u8]) -> bool {
+    let row = |row: &str| {
+        let columns = row.strip_suffix('\n').map(|row| row.split('\t').collect::<Vec<&str>>());
+        columns.is_some_and(|columns| {
+            columns.len() == COLUMNS && !columns.iter().any(|text| text.chars().any(char::is_control))
+        })
+    };
+    std::str::from_utf8(page).is_ok_and(|text| text.split_inclusive('\n').all(row))
+}
+
 /// A load report as in `inflight:7;util:0.61`, under the names that the settings use.
 fn report(told: &str) -> Report {
     let pairs = told.split(';').filter_map(|pair| pair.split_once(':'));
