--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -257,7 +257,14 @@
     fn probe(&mut self, id: EngineId) {
         let (desk, sent) = (self.desk.clone(), clock::now());
         let told = move |verdict: Verdict, report: Report| {
-            let outcome = Outcome { verdict, took: clock::now() - sent, over: false, bill: None, report };
+            let outcome = Outcome {
+                verdict,
+                took: clock::now() - sent,
+                over: false,
+                lively: false,
+                bill: None,
+                report,
+            };
             desk.call(Call::Probed { engine: id, outcome });
         };
         let refused = match self.engines.get(&id) {
@@ -266,8 +273,14 @@
         };
         if refused {
             let took = Span::default();
-            let outcome =
-                Outcome { verdict: Verdict::TimedOut, took, over: false, bill: None, report: Report::new() };
+            let outcome = Outcome {
+                verdict: Verdict::TimedOut,
+                took,
+                over: false,
+                lively: false,
+                bill: None,
+                report: Report::new(),
+            };
             let decided = self.logic.probed(clock::now(), id, outcome);
             self.carry_out(decided);
         }
--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -17,6 +17,8 @@
 const LONGEST_RESULT: usize = 48_000;
 /// So much of a result is set aside beforehand; what comes past it is counted as it comes.
 pub const USUAL_RESULT: usize = 4_096;
+/// Within this time an engine reads that a dispatch is given up, or that its connection has ended.
+const READ: Duration = Duration::from_millis(5);
 const MOST_PAGES: u32 = 4096;
 const AHEAD: u32 = 8;
 
@@ -117,7 +119,7 @@
                         Ok(Heard::Word(Word::Shed(report))) => self.settle(at, Verdict::Full, None, report),
                         Ok(Heard::Word(Word::Late(report))) => self.settle(at, Verdict::Void, None, report),
                         Ok(Heard::Word(Word::Fault(report))) => self.settle(at, Verdict::Error, None, report),
-                        Ok(Heard::Lost(verdict)) => self.settle(at, verdict, None, Report::new()),
+                        Ok(Heard::Lost(verdict, lively)) => self.end(at, verdict, lively, None, Report::new()),
                         Ok(Heard::Word(Word::Pong(_) | Word::Sick(_))) => running = Some(at),
                         Err(_) => self.settle(at, Verdict::Broken, None, Report::new()),
                     }
@@ -157,12 +159,18 @@
 
     /// Tells the module how the dispatch ended. What the engine still holds of it is given back first.
     fn settle(&self, at: Running, verdict: Verdict, bill: Option<(Span, f64)>, report: Report) {
+        self.end(at, verdict, false, bill, report);
+    }
+
+    fn end(&self, at: Running, verdict: Verdict, lively: bool, bill: Option<(Span, f64)>, report: Report) {
         let (copy, took) = (at.copy, clock::now() - at.sent);
-        if matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error) {
+        if matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error | Verdict::Broken) {
             at.out.give_up();
+            // Nothing orders what is written to two engines: this one is to read it before another has the job.
+            std::thread::sleep(READ);
         }
         drop(at);
-        self.desk.settle(self.id, copy, Outcome { verdict, took, over: false, bill, report });
+        self.desk.settle(self.id, copy, Outcome { verdict, took, over: false, lively, bill, report });
     }
 }
 
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -20,8 +20,9 @@
 const ORDERS: usize = 4096; // orders that wait for an engine's owner
 const WORDS: usize = 32; // words of an engine that wait for one job
 const SPENT: usize = 2048; // ids used up on one connection, after which it takes nothing new
+const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
-const GIVEN_UP: Duration = Duration::from_millis(100); // a job waits so long for its dispatch to be given up
+const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
 
 /// What the settings say of connections.
 #[derive(Clone, Copy)]
@@ -56,8 +57,9 @@
 #[derive(Debug)]
 pub enum Heard {
     Word(Word),
-    /// The dispatch ended with its connection, or never had one.
-    Lost(Verdict),
+    /// The dispatch ended with its connection, or never had one; and whether the engine has taken a new
+    /// connection since.
+    Lost(Verdict, bool),
 }
 
 /// A dispatch as the engine is to read it.
@@ -139,6 +141,7 @@
             outs: HashMap::new(),
             waiting: VecDeque::new(),
             dialing: 0,
+            doubtful: Vec::new(),
             connections: BTreeMap::new(),
             opened: 0,
             gone: false,
@@ -157,7 +160,7 @@
         let (number, gate) = (self.numbers.fetch_add(1, SeqCst), Arc::new(Gate::default()));
         let order = Order::Send { number, request, gate: gate.clone(), words: words.clone() };
         if self.orders.send(order).is_err() {
-            let _ = words.try_send(Heard::Lost(Verdict::Unreachable));
+            let _ = words.try_send(Heard::Lost(Verdict::Unreachable, false));
         }
         Out { number, engine: self.clone(), gate, words: heard }
     }
@@ -221,6 +224,8 @@
     /// What waits for a connection, in turn.
     waiting: VecDeque<u64>,
     dialing: usize,
+    /// What ended with its connection, until it shows whether the engine takes a new one.
+    doubtful: Vec<Sender<Heard>>,
     connections: BTreeMap<u64, Connection>,
     opened: u64,
     gone: bool,
@@ -235,6 +240,8 @@
     headed: bool,
     /// It has waited long enough to share a connection.
     shares: bool,
+    /// Connections that have ended before a byte of it had left.
+    failed: u32,
     due: Instant,
 }
 
@@ -259,7 +266,7 @@
 impl Owner {
     fn run(mut self, inbox: &Receiver<Order>) {
         let mut sweep = Instant::now() + SWEEP;
-        while !(self.gone && self.outs.is_empty()) {
+        while !(self.gone && self.outs.is_empty() && self.doubtful.is_empty()) {
             let due = self.outs.values().filter(|entry| entry.times_out()).map(|entry| entry.due).min();
             let due = due.map_or(sweep, |due| due.min(sweep));
             match inbox.recv_deadline(due) {
@@ -311,7 +318,10 @@
 
     fn enter(&mut self, number: u64, id: Box<str>, what: What) {
         let due = Instant::now() + self.terms.dial / 8;
-        self.outs.insert(number, Entry { what, id, connection: None, headed: false, shares: false, due });
+        self.outs.insert(
+            number,
+            Entry { what, id, connection: None, headed: false, shares: false, failed: 0, due },
+        );
         self.waiting.push_back(number);
         self.assign_waiting();
     }
@@ -378,11 +388,20 @@
             Ok(count) if count == bytes.len() => {}
             Ok(count) => self.write(key, &bytes[count..]),
             Err(e) => {
-                // Not a byte has left.
+                // Not a byte has left: it may go on another connection, if that does not come again and again.
+                connection.ids.remove(&entry.id);
+                (entry.connection, entry.failed) = (None, entry.failed + 1);
+                let again = entry.failed < FAILED;
                 if let What::Dispatch { gate, .. } = &entry.what {
-                    gate.0.store(DROPPED, SeqCst);
+                    gate.0.store(if again { QUEUED } else { DROPPED }, SeqCst);
                 }
                 self.lost(key, &format!("it takes nothing: {e}"));
+                if again {
+                    self.waiting.push_back(number);
+                    self.assign_waiting();
+                } else {
+                    self.lose(number);
+                }
             }
         }
     }
@@ -396,27 +415,26 @@
 
     fn dial(&mut self) {
         let most = self.terms.connections.saturating_sub(self.connections.len());
-        while self.dialing < self.waiting.len().min(most) {
-            let Some(lease) = self.sockets.lease(1) else { break };
-            let (address, dial, me) = (self.address, self.terms.dial, self.me.clone());
-            let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
-                let stream = TcpStream::connect_timeout(&address, dial);
-                let _ =
-                    me.send(Order::Dialed(stream.map(|stream| (stream, lease)).map_err(|e| e.to_string())));
-            });
-            match dialed {
-                Ok(()) => self.dialing += 1,
-                Err(e) => {
-                    tracing::warn!("engine {}: no thread to connect with: {e}", self.name);
-                    break;
-                }
-            }
-        }
+        while self.dialing < self.waiting.len().min(most) && self.dial_once() {}
         if self.dialing == 0 {
             self.share();
         }
     }
 
+    fn dial_once(&mut self) -> bool {
+        let Some(lease) = self.sockets.lease(1) else { return false };
+        let (address, dial, me) = (self.address, self.terms.dial, self.me.clone());
+        let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
+            let stream = TcpStream::connect_timeout(&address, dial);
+            let _ = me.send(Order::Dialed(stream.map(|stream| (stream, lease)).map_err(|e| e.to_string())));
+        });
+        match dialed {
+            Ok(()) => self.dialing += 1,
+            Err(e) => tracing::warn!("engine {}: no thread to connect with: {e}", self.name),
+        }
+        self.dialing > 0
+    }
+
     /// Where no connection can be made, those that are there are shared.
     fn share(&mut self) {
         while let Some(&number) = self.waiting.front() {
@@ -429,6 +447,10 @@
 
     fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>) {
         self.dialing -= 1;
+        let taken = dialed.is_ok();
+        for words in std::mem::take(&mut self.doubtful) {
+            let _ = words.try_send(Heard::Lost(Verdict::Broken, taken));
+        }
         let connected = dialed.and_then(|(stream, lease)| {
             self.connect(stream, lease).map_err(|e| format!("it can't be read: {e}"))
         });
@@ -560,8 +582,11 @@
         match entry.what {
             What::Dispatch { gate, words, .. } => {
                 let never_left = gate.pass(DROPPED) || gate.0.load(SeqCst) == DROPPED;
-                let verdict = if never_left { Verdict::Unreachable } else { Verdict::Broken };
-                let _ = words.try_send(Heard::Lost(verdict));
+                if never_left {
+                    let _ = words.try_send(Heard::Lost(Verdict::Unreachable, false));
+                } else {
+                    self.doubtful.push(words);
+                }
             }
             What::Probe(told) => {
                 let verdict = if entry.connection.is_some() { Verdict::Broken } else { Verdict::Unreachable };
@@ -584,6 +609,12 @@
         let mut numbers: Vec<u64> = connection.ids.into_values().collect();
         numbers.sort_unstable();
         numbers.into_iter().for_each(|number| self.lose(number));
+        // A process that has died takes no new connection: that tells its end from a connection's.
+        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once() {
+            for words in std::mem::take(&mut self.doubtful) {
+                let _ = words.try_send(Heard::Lost(Verdict::Broken, false));
+            }
+        }
     }
 
     fn time_out(&mut self) {
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -325,6 +325,24 @@
     .assert_eq(&trace);
 }
 
+/// Connections that are reset again and again, idle or in use, do not put an engine out of use that takes new ones.
+#[test]
+fn resets_leave_their_engine_in_use() {
+    let (engines, _bus, _program, mut client) = one_engine();
+    for message in 1..=12 {
+        client.ask(message, "lookup", 9000);
+        engines.next().hang_up();
+        engines.next().says("HIT", "-", "");
+        assert_eq!(client.next(), format!("{message}: done "));
+    }
+    client.ask(20, "lookup", 9000);
+    for _ in 0..3 {
+        engines.next().hang_up();
+    }
+    engines.next().says("HIT", "-", "");
+    assert_eq!(client.next(), "20: done ");
+}
+
 /// Doubled answers and answers to nothing are passed over.
 #[test]
 fn answers_that_nobody_waits_for_are_dropped() {
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -74,6 +74,7 @@
             verdict: self.verdict()?,
             took: self.span("Rtt")?,
             over: self.flag("Complete")?,
+            lively: false,
             bill: (used > 0).then(|| (Span::from_ms((used / 4096) as f64), (used % 4096) as f64 * 4.0)),
             report: self.report(),
         })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,6 +168,8 @@
     pub took: Span,
     /// The job has its final answer, by this outcome or before.
     pub over: bool,
+    /// The engine has taken a new connection since: the trouble was the connection's alone.
+    pub lively: bool,
     /// Work and memory (MB) that an answer says the job needed.
     pub bill: Option<(Span, f64)>,
     pub report: Report,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -816,7 +816,7 @@
                     self.see_pace(id, out.engine, took, 1.0);
                 }
             }
-            Verdict::Unreachable | Verdict::Broken => {
+            Verdict::Unreachable | Verdict::Broken if !outcome.lively => {
                 // One broken connection among many answers is no reason to lose an engine; two in a row are.
                 engine.strikes += 1;
                 if engine.strikes > 1 || engine.on_trial {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -25,6 +25,8 @@
     asked: Vec<EngineId>,
     sent: Vec<(f64, u32)>,
     jobs: u32,
+    /// Engines whose connections break take new ones.
+    lively: bool,
 }
 
 fn settings(more: &[(&str, f64)]) -> Settings {
@@ -82,6 +84,7 @@
             asked: vec![],
             sent: vec![],
             jobs: 0,
+            lively: false,
         };
         desk.list(true, (0..engines).map(|i| engine(i, Stage::Running, None)).collect());
         desk
@@ -134,6 +137,7 @@
             verdict,
             took: Span::from_ms(took),
             over: verdict == Verdict::Done,
+            lively: self.lively,
             bill: None,
             report: Report::new(),
         };
@@ -159,7 +163,8 @@
                 let Some(jobs) = self.told.get(engine.0 as usize).copied() else { continue };
                 let took = Span::from_ms(self.probe_ms.get(engine.0 as usize).copied().unwrap_or(1.0));
                 let report = vec![(self.field.to_string(), jobs)];
-                let outcome = Outcome { verdict: Verdict::Done, took, over: false, bill: None, report };
+                let outcome =
+                    Outcome { verdict: Verdict::Done, took, over: false, lively: false, bill: None, report };
                 let decided = self.logic.probed(self.moment(), engine, outcome);
                 self.note(&format!("told {}: {jobs}", engine.0), decided);
             }
@@ -514,6 +519,32 @@
     );
 }
 
+/// Where the engine takes new connections, the trouble is the connection's alone, however often it comes.
+#[test]
+fn broken_connections_to_an_engine_that_takes_new_ones_are_no_suspicion() {
+    let mut desk = Desk::new(&[], 2);
+    desk.lively = true;
+    for _ in 0..3 {
+        let job = desk.take(LOOKUP, 11, None);
+        desk.settle(job, 0, Verdict::Broken, 5.0);
+        desk.settle(job, 1, Verdict::Done, 5.0);
+    }
+    desk.take(LOOKUP, 11, None);
+    same(desk, expect![[r#"
+        0     list [0 Running, 1 Running]:
+        0     take 0: send 0 to 0
+        0     Broken 0.0: send 0 to 1
+        0     Done 0.1:
+        0     take 1: send 1 to 1
+        0     Broken 1.0: send 1 to 0
+        0     Done 1.1:
+        0     take 2: send 2 to 1
+        0     Broken 2.0: send 2 to 0
+        0     Done 2.1:
+        0     take 3: send 3 to 1
+    "#]]);
+}
+
 #[test]
 fn grants_grow_where_jobs_spill() {
     let mut desk = Desk::new(
