--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, PoisonError};
 
-const CALLS: usize = 8192; // calls that wait for the module
+const CALLS: usize = 1024; // calls that wait for the module
 const MODULE_STACK: usize = 512 * 1024;
 const STEPS: usize = 32; // steps that wait for one job: more than its dispatches, recalls and answer make
 
@@ -326,10 +326,8 @@
             });
         }
         if event.complete {
-            for (_, known) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                known.stage = Stage::Gone;
-                known.engine.gone();
-            }
+            let missing = self.engines.keys().copied().filter(|id| !named.contains(id));
+            missing.collect::<Vec<EngineId>>().into_iter().for_each(|id| self.forget(id));
         }
         tracing::info!(
             "engine list: event {} with {} entries, {} engines running",
@@ -356,9 +354,7 @@
             }
             (known.started, known.stage) = (started, stage);
         } else {
-            if let Some(old) = self.engines.remove(&id) {
-                old.engine.gone();
-            }
+            self.forget(id);
             // Whoever had a new engine's address before has gone, whether or not that was told.
             for old in self.engines.values().filter(|old| old.address == address && stage == Stage::Running) {
                 old.engine.gone();
@@ -368,13 +364,19 @@
             let engine = Engine::start(name, address, self.terms, sockets, readers, clock::now)?;
             self.engines.insert(id, Known { engine, address, started, stage });
         }
-        let known = &self.engines[&id];
-        known.engine.open(stage == Stage::Running);
+        self.engines[&id].engine.open(stage == Stage::Running);
         if stage == Stage::Gone {
-            known.engine.gone();
+            self.forget(id);
         }
         Ok(())
     }
+
+    /// Nothing is sent there any more; what is still out there ends by itself.
+    fn forget(&mut self, id: EngineId) {
+        if let Some(old) = self.engines.remove(&id) {
+            old.engine.gone();
+        }
+    }
 }
 
 impl Open {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -89,6 +89,6 @@
     while signals.forever().next() == Some(SIGHUP) {
         reload::reload(&mut config, Config::read(environment), &bus);
     }
-    stop::drain(&desk, &health);
+    stop::drain(&desk, &health, config.longest_wait());
     Ok(())
 }
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -17,9 +17,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
-const ORDERS: usize = 4096; // orders that wait for an engine's owner
+// A channel takes memory for all that it may hold once it has gone round, so that bounds are no larger than bursts.
+const ORDERS: usize = 512; // orders that wait for an engine's owner
 const WORDS: usize = 32; // words of an engine that wait for one job
-const SPENT: usize = 2048; // ids used up on one connection, after which it takes nothing new
+const SPENT: usize = 64; // ids used up on one connection, after which it takes nothing new
 const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
 const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
--- a/crates/server/src/memory/readers.rs
+++ b/crates/server/src/memory/readers.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const NEW: usize = 4096; // connections that wait to be read
+const NEW: usize = 256; // connections that wait to be read
 const EVENTS: usize = 256;
 const WAKE: Token = Token(usize::MAX);
 const PIECE: usize = 16 * 1024;
--- a/crates/server/src/service/config.rs
+++ b/crates/server/src/service/config.rs
@@ -2,7 +2,7 @@
 
 use crate::memory::engines::Terms;
 use crate::wire::bus::{self, Event};
-use pebblevane::interface::Settings;
+use pebblevane::interface::{Settings, Span};
 use pebblevane_door::{Fields, Told, settings};
 use serde_json::Value as Json;
 use std::net::SocketAddr;
@@ -87,6 +87,13 @@
         types.map(|i| self.settings.text(&format!("Classes.{i}.Name")).to_string()).collect()
     }
 
+    /// How long a client waits at most, as far as the settings tell.
+    pub fn longest_wait(&self) -> Span {
+        let types = 0..self.settings.entries("Classes", "Name");
+        let waits = types.map(|i| self.settings.number(&format!("Classes.{i}.GiveUp")).unwrap_or(f64::MAX));
+        Span::from_ms(waits.fold(0.0, f64::max))
+    }
+
     /// How connections to engines are kept. One that has been idle nearly as long as engines allow is not
     /// used again, since its end may be under way.
     pub fn terms(&self, connections: usize) -> Terms {
--- a/crates/server/src/service/stop.rs
+++ b/crates/server/src/service/stop.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 const COMING: Span = Span(1_000_000); // new jobs may still come for so long after the signal
-const ANSWERED: Span = Span(3_400_000); // by then every job has its answer: a kill may follow soon after
+const AFTER: Span = Span(400_000); // so long after the longest wait every job has its answer: a kill may follow
+const LONGEST: Span = Span(3_000_000); // but a kill counts no wait as longer than this
 const LINGER: Duration = Duration::from_millis(200); // for the last answers to leave
 
 #[derive(Default)]
@@ -22,12 +23,13 @@
 }
 
 /// Returns when the program may end.
-pub fn drain(desk: &Desk, health: &Health) {
+pub fn drain(desk: &Desk, health: &Health, longest_wait: Span) {
     let told = clock::now();
     health.stopping.store(true, SeqCst);
-    desk.stopping(told + ANSWERED);
+    let by = told + longest_wait.min(LONGEST) + AFTER;
+    desk.stopping(by);
     tracing::info!("stopping with {} jobs open", desk.open.load(SeqCst));
-    while clock::now() < told + COMING || (desk.open.load(SeqCst) > 0 && clock::now() < told + ANSWERED) {
+    while clock::now() < told + COMING || (desk.open.load(SeqCst) > 0 && clock::now() < by) {
         std::thread::sleep(Duration::from_millis(20));
     }
     std::thread::sleep(LINGER);
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -83,6 +83,14 @@
     pub fn next(&self) -> Seen {
         self.within(PATIENCE).expect("no engine has read anything")
     }
+    /// Answers the job of this number with no rows, whatever else is read before it.
+    pub fn answer(&self, message: u32) {
+        let mut seen = self.next();
+        while (seen.word(0), seen.word(1)) != ("REQ", &id(message)) {
+            seen = self.next();
+        }
+        seen.says("HIT", "-", "");
+    }
     /// The next line, if one comes soon.
     pub fn soon(&self) -> Option<Seen> {
         self.within(QUIET)
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -747,14 +747,47 @@
         client.next();
         message += 1;
     }
-    let mut own = engines.next();
-    while own.word(1) != id(message) {
-        own = engines.next();
-    }
-    own.says("HIT", "-", "");
+    engines.answer(message);
     assert_eq!(client.next(), format!("{message}: done "));
 }
 
+/// Engines come and go under ever new ids, and clients under ever new connections: what was kept for them is let
+/// go, and no more threads, descriptors or memory are held at the end than after a while.
+#[test]
+fn nothing_grows_with_engines_and_clients_that_have_gone() {
+    let (engines, mut bus, program, mut client) = one_engine();
+    let figures = || {
+        let of = |part: &str| format!("/proc/{}/{part}", program.child.id());
+        let status = std::fs::read_to_string(of("status")).unwrap();
+        let figure = |name: &str| -> usize {
+            let line = status.lines().find(|line| line.starts_with(name)).unwrap();
+            line.split_whitespace().nth(1).unwrap().parse().unwrap()
+        };
+        [figure("Threads:"), std::fs::read_dir(of("fd")).unwrap().count(), figure("VmRSS:") / 1024]
+    };
+    let mut seen = Vec::new();
+    for number in 2..600 {
+        let entries = [(number, "in_service"), (number - 1, "terminated")];
+        let entries =
+            entries.map(|(number, state)| entry(&format!("x{number}"), &engines.addresses[0], state));
+        bus.event(u64::from(number), false, entries.to_vec());
+        let mut passing = program.client();
+        passing.ask(number, "lookup", 9000);
+        engines.answer(number);
+        assert_eq!(passing.next(), format!("{number}: done "));
+        if number % 199 == 0 {
+            seen.push(figures());
+        }
+    }
+    client.ask(1, "lookup", 9000);
+    engines.answer(1);
+    assert_eq!(client.next(), "1: done ");
+    // Some that have just gone may still be there.
+    let [first, .., last] = seen[..] else { panic!("no figures") };
+    let most = [first[0] + 40, first[1] + 40, first[2] + 4];
+    assert!(last.iter().zip(most).all(|(last, most)| *last <= most), "{seen:?}");
+}
+
 /// A new engine has the address of one that is still listed: the old one gets nothing more, and what is told of
 /// the old one later does not touch the new one.
 #[test]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -530,7 +530,9 @@
         desk.settle(job, 1, Verdict::Done, 5.0);
     }
     desk.take(LOOKUP, 11, None);
-    same(desk, expect![[r#"
+    same(
+        desk,
+        expect![[r#"
         0     list [0 Running, 1 Running]:
         0     take 0: send 0 to 0
         0     Broken 0.0: send 0 to 1
@@ -542,7 +544,8 @@
         0     Broken 2.0: send 2 to 0
         0     Done 2.1:
         0     take 3: send 3 to 1
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
