--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -192,7 +192,8 @@
     }
     /// Keeps it from leaving if it has not yet; says whether that came in time.
     pub fn withhold(&self) -> bool {
-        self.gate.pass(DROPPED) || self.gate.0.load(SeqCst) == DROPPED
+        // Whatever happens, it does not leave from now on.
+        self.gate.0.swap(DROPPED, SeqCst) != SENT
     }
 }
 
@@ -394,7 +395,9 @@
                 (entry.connection, entry.failed) = (None, entry.failed + 1);
                 let again = entry.failed < FAILED;
                 if let What::Dispatch { gate, .. } = &entry.what {
-                    gate.0.store(if again { QUEUED } else { DROPPED }, SeqCst);
+                    // Unless the job has given it up meanwhile.
+                    let next = if again { QUEUED } else { DROPPED };
+                    let _ = gate.0.compare_exchange(SENT, next, SeqCst, SeqCst);
                 }
                 self.lost(key, &format!("it takes nothing: {e}"));
                 if again {
@@ -556,7 +559,7 @@
         };
         let (key, headed) = (*key, *headed);
         let left = match what {
-            What::Dispatch { gate, .. } => gate.0.load(SeqCst) != DROPPED,
+            What::Dispatch { .. } => true,
             What::Probe(_) => false,
         };
         let silent =
@@ -581,9 +584,8 @@
     fn lose(&mut self, number: u64) {
         let Some(entry) = self.leave(number, true) else { return };
         match entry.what {
-            What::Dispatch { gate, words, .. } => {
-                let never_left = gate.pass(DROPPED) || gate.0.load(SeqCst) == DROPPED;
-                if never_left {
+            What::Dispatch { words, .. } => {
+                if entry.connection.is_none() {
                     let _ = words.try_send(Heard::Lost(Verdict::Unreachable, false));
                 } else {
                     self.doubtful.push(words);
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -755,7 +755,7 @@
 /// go, and no more threads, descriptors or memory are held at the end than after a while.
 #[test]
 fn nothing_grows_with_engines_and_clients_that_have_gone() {
-    let (engines, mut bus, program, mut client) = one_engine();
+    let (engines, mut bus, program, _idle) = one_engine();
     let figures = || {
         let of = |part: &str| format!("/proc/{}/{part}", program.child.id());
         let status = std::fs::read_to_string(of("status")).unwrap();
@@ -779,6 +779,7 @@
             seen.push(figures());
         }
     }
+    let mut client = program.client();
     client.ask(1, "lookup", 9000);
     engines.answer(1);
     assert_eq!(client.next(), "1: done ");
