--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -27,6 +27,7 @@
 /// At the limit, connections that owe a message for so long, or have been idle for so long, make room.
 const SILENT: Duration = Duration::from_millis(100);
 const RESTING: Duration = Duration::from_millis(300);
+const ROOM: usize = 16;
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room
 const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
@@ -76,6 +77,8 @@
     /// New connections wait for room.
     crowded: bool,
     all: HashMap<usize, Ear>,
+    /// Those of which nothing is read for a while.
+    paused: Vec<usize>,
     numbers: std::ops::RangeFrom<usize>,
     piece: Vec<u8>,
 }
@@ -103,6 +106,7 @@
             listener,
             crowded: false,
             all: HashMap::new(),
+            paused: Vec::new(),
             numbers: 0..,
             piece: vec![0; PIECE],
         })
@@ -112,7 +116,8 @@
         let mut events = Events::with_capacity(EVENTS);
         let mut swept = Instant::now();
         loop {
-            let pauses = self.all.values().filter_map(|ear| ear.pauses_until);
+            let until = |number: &usize| self.all.get(number).and_then(|ear| ear.pauses_until);
+            let pauses = self.paused.iter().filter_map(until);
             let pauses = pauses.map(|until| until.saturating_duration_since(Instant::now())).min();
             let wait = if self.crowded { CROWDED } else { SWEEP };
             // An interrupted wait is one without events.
@@ -124,13 +129,16 @@
                     Token(number) => ready.push(number),
                 }
             }
-            let over = |ear: &&mut Ear| ear.pauses_until.is_some_and(|until| until <= Instant::now());
-            for (number, ear) in self.all.iter_mut().map(|(number, ear)| (*number, ear)) {
-                if over(&ear) {
+            let (all, now) = (&mut self.all, Instant::now());
+            self.paused.retain(|number| {
+                let Some(ear) = all.get_mut(number) else { return false };
+                let over = ear.pauses_until.is_none_or(|until| until <= now);
+                if over {
                     ear.pauses_until = None;
-                    ready.push(number);
+                    ready.push(*number);
                 }
-            }
+                !over
+            });
             ready.into_iter().for_each(|number| self.read(number));
             if comes {
                 self.accept();
@@ -187,7 +195,7 @@
         let Some(ear) = self.all.get_mut(&number).filter(|ear| ear.pauses_until.is_none()) else { return };
         ear.client.flush();
         match ear.read(&self.door, &mut self.piece) {
-            Ok(false) => {}
+            Ok(false) => self.paused.extend(ear.pauses_until.map(|_| number)),
             Ok(true) => {
                 // Whatever more is there is told by a new event.
                 let fd = ear.client.stream.as_raw_fd();
@@ -218,10 +226,13 @@
         }
     }
 
-    /// At the limit the connection that has been of no use for longest makes room.
+    /// At the limit the connections that have been of no use for longest make room, some at a time: looking through
+    /// all for each new one would take the core from the others when hundreds come at once.
     fn make_room(&mut self) {
         let useless = self.all.iter().filter_map(|(n, ear)| Some((ear.useless_for(SILENT, RESTING)?, *n)));
-        if let Some((_, number)) = useless.max() {
+        let mut useless: Vec<(Duration, usize)> = useless.collect();
+        useless.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, number) in useless.into_iter().take(ROOM) {
             counts::MADE_ROOM.add();
             self.end(number, "it makes room");
         }
