--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -22,6 +22,7 @@
 const WORDS: usize = 32; // words of an engine that wait for one job
 const SPENT: usize = 64; // ids used up on one connection, after which it takes nothing new
 const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
+const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
 const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
 
@@ -146,6 +147,8 @@
             connections: BTreeMap::new(),
             opened: 0,
             gone: false,
+            told: None,
+            untold: 0,
         };
         crate::thread(&format!("engine {name}"), crate::STACK, move || owner.run(&inbox))?;
         Ok(Arc::new(Engine { orders, open, numbers: AtomicU64::new(0) }))
@@ -231,6 +234,9 @@
     connections: BTreeMap<u64, Connection>,
     opened: u64,
     gone: bool,
+    /// When its last trouble was logged, and how many were not since.
+    told: Option<Instant>,
+    untold: u32,
 }
 
 /// A dispatch or probe that is out or waits for a connection.
@@ -459,7 +465,7 @@
             self.connect(stream, lease).map_err(|e| format!("it can't be read: {e}"))
         });
         if let Err(why) = connected {
-            tracing::info!("engine {}: cannot connect: {why}", self.name);
+            self.tell(|name, rest| format!("engine {name}: cannot connect: {why}{rest}"));
             if self.dialing == 0 {
                 self.share();
                 std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
@@ -603,11 +609,8 @@
         let _ = connection.stream.shutdown(Shutdown::Both);
         counts::LOST_CONNECTIONS.add();
         if !connection.ids.is_empty() {
-            tracing::info!(
-                "engine {}: lost a connection with {} open: {why}",
-                self.name,
-                connection.ids.len()
-            );
+            let open = connection.ids.len();
+            self.tell(|name, rest| format!("engine {name}: lost a connection with {open} open: {why}{rest}"));
         }
         let mut numbers: Vec<u64> = connection.ids.into_values().collect();
         numbers.sort_unstable();
@@ -620,6 +623,20 @@
         }
     }
 
+    /// One line a while on an engine's troubles, with a count of those that were left out.
+    fn tell(&mut self, line: impl Fn(&str, &str) -> String) {
+        if self.told.is_some_and(|told| told.elapsed() < TELL) {
+            self.untold += 1;
+            return;
+        }
+        let rest = match std::mem::take(&mut self.untold) {
+            0 => String::new(),
+            untold => format!("; {untold} such lines were left out before"),
+        };
+        self.told = Some(Instant::now());
+        tracing::info!("{}", line(&self.name, &rest));
+    }
+
     fn time_out(&mut self) {
         let now = Instant::now();
         let late = self.outs.iter().filter(|(_, entry)| entry.times_out() && entry.due <= now);
