--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -22,6 +22,8 @@
 const WORDS: usize = 32; // words of an engine that wait for one job
 const SPENT: usize = 64; // ids used up on one connection, after which it takes nothing new
 const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
+const FRESH: Duration = Duration::from_millis(20); // a rest of so long harms no connection
+const STALE: Duration = Duration::from_secs(10); // without a stale connection, longer rests are tried again
 const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
 const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
@@ -147,6 +149,8 @@
             connections: BTreeMap::new(),
             opened: 0,
             gone: false,
+            fresh_for: terms.idle,
+            stale_at: Instant::now(),
             told: None,
             untold: 0,
         };
@@ -234,6 +238,10 @@
     connections: BTreeMap<u64, Connection>,
     opened: u64,
     gone: bool,
+    /// A connection that has rested for longer is not used again: it may have ended unseen on the way.
+    fresh_for: Duration,
+    /// When that was last found too long, or lengthened.
+    stale_at: Instant,
     /// When its last trouble was logged, and how many were not since.
     told: Option<Instant>,
     untold: u32,
@@ -265,6 +273,9 @@
     spent: HashSet<Box<str>>,
     /// When it last began or ended to have nothing out.
     since: Instant,
+    /// How long it had rested before what is out on it; none on its first use.
+    rested: Option<Duration>,
+    used: bool,
     /// When something last came from it.
     heard: Instant,
     opened: Moment,
@@ -352,13 +363,13 @@
     /// A connection on which no late answer can be taken for that of this id: one with nothing out, best one
     /// that has just proved to work; where no more may be opened, the one with the least out.
     fn connection_for(&self, id: &str, share: bool) -> Option<u64> {
-        let (streams, idle) = (self.terms.streams, self.terms.idle);
+        let streams = self.terms.streams;
         let usable = self.connections.iter().filter(|(_, connection)| {
             connection.spent.len() < SPENT
                 && !connection.spent.contains(id)
                 && !connection.ids.contains_key(id)
                 && match connection.ids.len() {
-                    0 => connection.since.elapsed() < idle,
+                    0 => connection.is_fresh(self.fresh_for, self.terms.idle),
                     out => share && out < streams,
                 }
         });
@@ -382,7 +393,8 @@
             What::Probe(_) => wire::probe(&entry.id, self.terms.reports),
         };
         if connection.ids.is_empty() {
-            connection.since = Instant::now();
+            connection.rested = connection.used.then(|| connection.since.elapsed());
+            (connection.since, connection.used) = (Instant::now(), true);
         }
         connection.ids.insert(entry.id.clone(), number);
         (entry.connection, entry.due) = (Some(key), Instant::now() + self.terms.dial);
@@ -488,6 +500,8 @@
             ids: HashMap::new(),
             spent: HashSet::new(),
             since: Instant::now(),
+            rested: None,
+            used: false,
             heard: Instant::now(),
             opened: (self.now)(),
             _lease: lease,
@@ -609,6 +623,13 @@
         let _ = connection.stream.shutdown(Shutdown::Both);
         counts::LOST_CONNECTIONS.add();
         if !connection.ids.is_empty() {
+            // One that ends at the first words after a rest was stale: others that rest as long may be, too.
+            let at_once =
+                connection.heard <= connection.since && connection.since.elapsed() < self.terms.dial;
+            if let Some(rested) = connection.rested.filter(|_| at_once) {
+                self.fresh_for = self.fresh_for.min((rested / 2).max(FRESH));
+                self.stale_at = Instant::now();
+            }
             let open = connection.ids.len();
             self.tell(|name, rest| format!("engine {name}: lost a connection with {open} open: {why}{rest}"));
         }
@@ -664,9 +685,12 @@
     }
 
     fn drop_idle(&mut self) {
-        let idle = self.terms.idle;
+        let (fresh_for, idle) = (self.fresh_for, self.terms.idle);
+        if self.stale_at.elapsed() > STALE {
+            (self.fresh_for, self.stale_at) = ((fresh_for * 2).min(idle), Instant::now());
+        }
         self.connections.retain(|_, connection| {
-            let keep = !connection.ids.is_empty() || connection.since.elapsed() < idle;
+            let keep = !connection.ids.is_empty() || connection.is_fresh(fresh_for, idle);
             if !keep {
                 let _ = connection.stream.shutdown(Shutdown::Both);
             }
@@ -689,6 +713,11 @@
 }
 
 impl Connection {
+    /// One that has never been used is as good as a new one until it is idle too long.
+    fn is_fresh(&self, fresh_for: Duration, idle: Duration) -> bool {
+        self.since.elapsed() < if self.used { fresh_for } else { idle }
+    }
+
     /// How long it could have spoken and has not.
     fn quiet_for(&self) -> Duration {
         self.heard.max(self.since).elapsed()
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -4,7 +4,7 @@
 use rmp::{decode, encode};
 use serde_json::{Value as Json, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::SeqCst};
@@ -21,6 +21,7 @@
     pub engine: usize,
     pub line: String,
     pub body: Vec<u8>,
+    from: SocketAddr,
     stream: TcpStream,
 }
 
@@ -42,7 +43,7 @@
     }
     /// Whether both came on one connection.
     pub fn is_beside(&self, other: &Seen) -> bool {
-        self.stream.peer_addr().unwrap() == other.stream.peer_addr().unwrap()
+        self.from == other.from
     }
     pub fn hang_up(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
@@ -115,6 +116,7 @@
 }
 
 fn read_lines(engine: usize, stream: &TcpStream, tell: &Sender<Seen>) {
+    let Ok(peer) = stream.peer_addr() else { return };
     let mut from = BufReader::new(stream);
     let mut line = String::new();
     while from.read_line(&mut line).is_ok_and(|count| count > 0) {
@@ -128,7 +130,8 @@
             body.truncate(length);
         }
         line.clear();
-        let _ = tell.send(Seen { engine, line: words, body, stream: stream.try_clone().unwrap() });
+        let _ =
+            tell.send(Seen { engine, line: words, body, from: peer, stream: stream.try_clone().unwrap() });
     }
 }
 
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -343,6 +343,41 @@
     assert_eq!(client.next(), "20: done ");
 }
 
+/// A connection that is reset at the first words after a rest was stale. Others that have rested as long are not used
+/// again, so that run-once jobs, which can't go twice, meet none.
+#[test]
+fn connections_that_rest_too_long_are_not_used_again() {
+    let (engines, _bus, program, mut client) = one_engine();
+    let rest = || std::thread::sleep(std::time::Duration::from_millis(60));
+    for message in 1..=3 {
+        client.ask(message, "lookup", 9000);
+    }
+    let mut used: Vec<Seen> = (1..=3).map(|_| engines.next()).collect();
+    for seen in &used {
+        seen.says("HIT", "-", "");
+        client.next();
+    }
+    rest();
+    client.ask(4, "lookup", 9000);
+    let stale = engines.next();
+    assert!(
+        used.iter().any(|seen| seen.is_beside(&stale)),
+        "a connection is used again while nothing speaks against it"
+    );
+    stale.hang_up();
+    let again = engines.next();
+    again.says("HIT", "-", "");
+    assert_eq!(client.next(), "4: done ");
+    used.push(again);
+    rest();
+    let mut other = program.client();
+    other.ask(5, "load", 9000);
+    let fresh = engines.next();
+    assert!(!used.iter().any(|seen| seen.is_beside(&fresh)));
+    fresh.says("HIT", "-", "");
+    assert_eq!(other.next(), "5: done ");
+}
+
 /// Doubled answers and answers to nothing are passed over.
 #[test]
 fn answers_that_nobody_waits_for_are_dropped() {
