--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -22,6 +22,7 @@
 const WORDS: usize = 32; // words of an engine that wait for one job
 const SPENT: usize = 64; // ids used up on one connection, after which it takes nothing new
 const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
+const AT_ONCE: Duration = Duration::from_millis(20); // before most answers: a spoilt one is no sign of a stale connection
 const FRESH: Duration = Duration::from_millis(20); // a rest of so long harms no connection
 const STALE: Duration = Duration::from_secs(10); // without a stale connection, longer rests are tried again
 const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
@@ -624,8 +625,7 @@
         counts::LOST_CONNECTIONS.add();
         if !connection.ids.is_empty() {
             // One that ends at the first words after a rest was stale: others that rest as long may be, too.
-            let at_once =
-                connection.heard <= connection.since && connection.since.elapsed() < self.terms.dial;
+            let at_once = connection.heard <= connection.since && connection.since.elapsed() < AT_ONCE;
             if let Some(rested) = connection.rested.filter(|_| at_once) {
                 self.fresh_for = self.fresh_for.min((rested / 2).max(FRESH));
                 self.stale_at = Instant::now();
