--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -27,7 +27,7 @@
 /// At the limit, connections that owe a message for so long, or have been idle for so long, make room.
 const SILENT: Duration = Duration::from_millis(100);
 const RESTING: Duration = Duration::from_millis(300);
-const ROOM: usize = 16;
+const ROOM: usize = 8; // make room at a time
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room
 const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
@@ -226,11 +226,12 @@
         }
     }
 
-    /// At the limit the connections that have been of no use for longest make room, some at a time: looking through
+    /// At the limit the connections that owe a message make room, then those that rest, the longest first, some at a time: looking through
     /// all for each new one would take the core from the others when hundreds come at once.
     fn make_room(&mut self) {
-        let useless = self.all.iter().filter_map(|(n, ear)| Some((ear.useless_for(SILENT, RESTING)?, *n)));
-        let mut useless: Vec<(Duration, usize)> = useless.collect();
+        let rank = |ear: &Ear| Some((ear.owes.is_some(), ear.useless_for(SILENT, RESTING)?));
+        let useless = self.all.iter().filter_map(|(number, ear)| Some((rank(ear)?, *number)));
+        let mut useless: Vec<((bool, Duration), usize)> = useless.collect();
         useless.sort_unstable_by(|a, b| b.cmp(a));
         for (_, number) in useless.into_iter().take(ROOM) {
             counts::MADE_ROOM.add();
