--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -26,8 +26,9 @@
     pub id: JobId,
     pub steps: Receiver<Step>,
     pub message: u32,
-    /// The client's own id of the job.
-    pub name: Name,
+    /// The client's own id of the job, and its hold on it until it is answered.
+    pub name: Box<str>,
+    pub taken: Option<Name>,
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
     pub client: Arc<Client>,
@@ -72,7 +73,7 @@
                     Ok(Step::Dispatch { engine, copy, limit, rank }) => {
                         let sent = clock::now();
                         let ends = sent + limit;
-                        let (id, class) = (self.name.name.clone(), self.class.clone());
+                        let (id, class) = (self.name.clone(), self.class.clone());
                         let statement = self.statement.clone();
                         let out = engine.send(Request { id, class, ends, rank, statement });
                         running = Some(Running { out, copy, sent, ends, result: None });
@@ -86,15 +87,15 @@
                     }
                     Ok(Step::Deliver) => {
                         counts::DONE.add();
-                        self.client.answer(self.message, &Reply::Done(&result));
+                        self.answer(&Reply::Done(&result));
                     }
                     Ok(Step::Answer(Answer::Throttled(pause))) => {
                         counts::THROTTLED.add();
-                        self.client.answer(self.message, &Reply::Throttled(pause));
+                        self.answer(&Reply::Throttled(pause));
                     }
                     Ok(Step::Answer(Answer::Cancelled)) => {
                         counts::CANCELLED.add();
-                        self.client.answer(self.message, &Reply::Failed("cancelled"));
+                        self.answer(&Reply::Failed("cancelled"));
                     }
                     Ok(Step::Released) | Err(_) => return,
                 },
@@ -135,6 +136,12 @@
         }
     }
 
+    /// The job's one answer. Whoever has it may ask again under the same id at once.
+    fn answer(&mut self, reply: &Reply) {
+        self.taken = None;
+        self.client.answer(self.message, reply);
+    }
+
     /// Asks for further pages, or settles the dispatch when the last one has come. A page that is missing
     /// when the time-out comes, or one of no use, never makes a job done.
     fn collect(&mut self, mut at: Running, result: &mut Vec<u8>) -> Option<Running> {
--- a/crates/server/src/memory/clients.rs
+++ b/crates/server/src/memory/clients.rs
@@ -162,7 +162,7 @@
 /// An id that is taken until this is dropped.
 pub struct Name {
     names: Arc<Names>,
-    pub name: Box<str>,
+    name: Box<str>,
 }
 
 impl Names {
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -226,8 +226,8 @@
         }
     }
 
-    /// At the limit the connections that owe a message make room, then those that rest, the longest first, some at a time: looking through
-    /// all for each new one would take the core from the others when hundreds come at once.
+    /// At the limit the connections that owe a message make room, then those that rest, the longest first, some
+    /// at a time: looking through all for each new one would take the core from the others when hundreds come.
     fn make_room(&mut self) {
         let rank = |ear: &Ear| Some((ear.owes.is_some(), ear.useless_for(SILENT, RESTING)?));
         let useless = self.all.iter().filter_map(|(number, ear)| Some((rank(ear)?, *number)));
@@ -339,7 +339,7 @@
 
 /// Hands a job to the module and to a thread of its own; says whether it could.
 fn take(door: &Door, client: &Arc<Client>, ask: Ask, arrived: Moment) -> bool {
-    let Some(name) = door.names.take(&ask.id) else {
+    let Some(taken) = door.names.take(&ask.id) else {
         counts::UNUSABLE.add();
         client.write(ask.message, &Reply::Failed("field i is that of an open request"));
         return false;
@@ -367,7 +367,8 @@
         id,
         steps,
         message: ask.message,
-        name,
+        name: ask.id,
+        taken: Some(taken),
         class: door.classes[ask.reservation].clone(),
         statement: ask.statement.into(),
         client: client.clone(),
