The module forgets engines, table groups and keys that can't matter any more

Read in the code: engines that have gone stayed in the module for ever (about 1 KB each), and so did the weight of each table group ever met, its order of the engines (until the list changed), past rests and empty turns of keys, ended holds of tables; the shared number table kept every engine's name. A pool that replaces its engines, or clients with temporary tables of ever new names, make that grow without end: 110 jobs a second on new groups would keep some 15 KB a second. logic.rs let_go drops them a minute after they were last met (engines only if no open job has to do with them) and tells the caller which engine numbers are free (Decided.forgotten). Rules are not touched: rests drop once past, holds once ended. Guards also against floods of statements on invented tables; could hurt where a group rests for more than a minute: its weight starts anew, and an engine that returns under its id after a minute is a new one.

--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -61,8 +61,9 @@
 /// Engines by name, numbered in the order in which they were first named.
 #[derive(Default)]
 pub struct Engines {
-    names: Vec<String>,
+    names: HashMap<EngineId, String>,
     numbers: HashMap<String, EngineId>,
+    next: u32,
 }
 
 impl Engines {
@@ -70,8 +71,9 @@
         if let Some(number) = self.numbers.get(name) {
             return *number;
         }
-        let number = EngineId(self.names.len() as u32);
-        self.names.push(name.to_string());
+        let number = EngineId(self.next);
+        self.next += 1;
+        self.names.insert(number, name.to_string());
         self.numbers.insert(name.to_string(), number);
         number
     }
@@ -79,7 +81,11 @@
         self.numbers.get(name).copied()
     }
     pub fn name(&self, engine: EngineId) -> &str {
-        &self.names[engine.0 as usize]
+        &self.names[&engine]
+    }
+    /// Its number is never given again; an engine of the same name is another one.
+    pub fn forget(&mut self, engine: EngineId) {
+        self.names.remove(&engine).and_then(|name| self.numbers.remove(&name));
     }
 }
 
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -251,6 +251,7 @@
                 self.desk.open.fetch_sub(1, SeqCst);
             }
         }
+        decided.forgotten.into_iter().for_each(|engine| self.numbers.forget(engine));
         self.wake = decided.next_wake;
     }
 
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -177,6 +177,7 @@
             steps.push(json!({"SetTimer": {"ManagerId": self.manager, "FromNow": from_now, "Tag": 0}}));
             self.timer = Some(wake.max(now));
         }
+        decided.forgotten.into_iter().for_each(|engine| self.engines.forget(engine));
         for job in decided.released {
             if let Some(request) = self.requests.remove(&job) {
                 self.jobs.remove(&request);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,7 +62,7 @@
 pub struct JobId(pub u32);
 
 /// An engine's number, given by the caller in the order in which lists named them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EngineId(pub u32);
 
 /// One value of the settings.
@@ -226,5 +226,7 @@
     pub next_wake: Option<Moment>,
     /// Jobs of which nothing is out or owed any more; their numbers may be forgotten.
     pub released: Vec<JobId>,
+    /// Engines that mean nothing to the module any more; their numbers may be forgotten.
+    pub forgotten: Vec<EngineId>,
     pub log: Vec<String>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! engine list, [`Logic::take`] hands over a job, [`Logic::settle`] and [`Logic::progress`] say how a
 //! dispatch fares, [`Logic::probed`] how a probe came out, and [`Logic::wake`] is due at the time last asked
 //! for; [`Logic::stopping`] announces the end. Each returns a [`Decided`], to be carried out in its order.
-//! The types are in `interface.rs`; why things are decided so is told in `docs/design.md`.
+//! `docs/design.md` tells why.
 
 use crate::interface::*;
 use crate::state::*;
@@ -45,6 +45,7 @@
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
+const FORGET: Span = Span(60_000_000); // what was not met for so long is forgotten
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -107,9 +108,8 @@
 
 impl Logic {
     pub fn new(now: Moment, seed: u64, settings: Settings) -> Logic {
-        let types = 0..settings.entries("Classes", "Aim");
-        let types =
-            types.map(|i| Reservation { grant: GRANT_START, ..Reservation::read(&settings, i) }).collect();
+        let read = |i| Reservation { grant: GRANT_START, ..Reservation::read(&settings, i) };
+        let types = (0..settings.entries("Classes", "Aim")).map(read).collect();
         let mut logic = Logic {
             now,
             chance: Chance(mix(seed)),
@@ -137,12 +137,12 @@
                 engine.listing.stage = Stage::Gone;
             }
         }
-        let runs = |(_, engine): &(&usize, &Engine)| engine.listing.stage == Stage::Running;
-        let (running, id) = (|| self.engines.iter().filter(runs), |(id, _): (&usize, &Engine)| *id);
-        self.running = running().map(id).collect();
-        self.cores = self.running.iter().map(|id| self.engines[id].cores).sum();
-        let cold = |(_, engine): &(&usize, &Engine)| engine.whole && engine.listing.ready_at.is_some();
-        self.cold = running().filter(cold).map(id).collect();
+        let engines = &self.engines;
+        let runs = |id: &usize| engines[id].listing.stage == Stage::Running;
+        self.running = engines.keys().copied().filter(runs).collect();
+        self.cores = self.running.iter().map(|id| engines[id].cores).sum();
+        let cold = |id: &usize| engines[id].whole && engines[id].listing.ready_at.is_some();
+        self.cold = self.running.iter().copied().filter(cold).collect();
         self.orders.clear();
         self.place_waiting();
         self.finish()
@@ -202,9 +202,7 @@
         held.over |= outcome.over;
         let Some(out) = held.out.take_if(|out| out.copy == copy) else { return self.finish() };
         let ran = !matches!(outcome.verdict, Verdict::Full | Verdict::Unreachable | Verdict::Void);
-        if ran && held.may_have_run.is_none() {
-            held.may_have_run = Some((out.engine, out.sent));
-        }
+        held.may_have_run = held.may_have_run.or(ran.then_some((out.engine, out.sent)));
         if matches!(outcome.verdict, Verdict::TimedOut | Verdict::Broken | Verdict::Withdrawn) {
             held.unsure_at = Some(now);
         }
@@ -262,9 +260,7 @@
     /// The client has left.
     pub fn gone(&mut self, now: Moment, id: JobId) -> Decided {
         self.now = now;
-        if let Some(held) = self.jobs.get_mut(&id) {
-            held.over = true;
-        }
+        self.jobs.entry(id).and_modify(|held| held.over = true);
         self.recall(id);
         self.release(id);
         self.finish()
@@ -357,14 +353,11 @@
             return own;
         }
         let usual = self.traffic.threads.mean_or(1.0);
-        let told = match engine.jobs {
-            Some(jobs) => {
-                let by_threads = jobs * usual / (engine.cores * THREADS_A_CORE);
-                let by_memory = jobs * self.traffic.memory.mean_or(0.0) / engine.memory_mb.max(1.0);
-                by_threads.max(by_memory)
-            }
-            None => engine.processor.unwrap_or(0.0),
+        let by_jobs = |jobs: f64| {
+            let by_memory = jobs * self.traffic.memory.mean_or(0.0) / engine.memory_mb.max(1.0);
+            by_memory.max(jobs * usual / (engine.cores * THREADS_A_CORE))
         };
+        let told = engine.jobs.map_or(engine.processor.unwrap_or(0.0), by_jobs);
         let since = (engine.since + threads) / (engine.cores * THREADS_A_CORE);
         own.max(told.max(engine.memory.unwrap_or(0.0)) + since)
     }
@@ -507,8 +500,7 @@
     /// by type. A job gets at least what goes with its threads, as far as it may need it: while threads are
     /// under the bound all such grants fit.
     fn terms(&self, id: JobId, to: usize) -> Option<Terms> {
-        let (ranks, grants) =
-            (self.settings.flag("Extra.RanksHeeded"), self.settings.flag("Extra.GrantsCount"));
+        let [ranks, grants] = ["Extra.RanksHeeded", "Extra.GrantsCount"].map(|name| self.settings.flag(name));
         let held = &self.jobs[&id];
         let kind = &self.types[held.job.reservation];
         let rank = match () {
@@ -570,14 +562,11 @@
 
     /// Sends a job to the engine that the mechanism chooses, or keeps it until one may take it.
     fn place(&mut self, id: JobId) {
-        let after = |logic: &mut Logic, id: JobId, verdict: Verdict| logic.after_dispatch(id, verdict);
-        let sent =
-            self.choose(id).is_some_and(|(engine, choice)| self.send(id, engine, choice, Box::new(after)));
+        let next = Box::new(Logic::after_dispatch);
+        let sent = self.choose(id).is_some_and(|(engine, choice)| self.send(id, engine, choice, next));
         let held = self.jobs.get_mut(&id).expect("a job that is placed is held");
         let waits = std::mem::replace(&mut held.waits, !sent);
-        if !sent && !waits {
-            self.waiting.push(id);
-        }
+        self.waiting.extend((!sent && !waits).then_some(id));
         if !sent && !self.placing && self.many() {
             let pause = PLACE_EVERY.times(5.0 + 5.0 * self.chance.next());
             self.place_after(pause);
@@ -668,11 +657,8 @@
                 break;
             }
             open[tier].push(e);
-            let old = asks && now - engine.reported > ASK_AFTER;
-            if old
-                && (engine.probe_out
-                    || (now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64))
-            {
+            let may_ask = now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64;
+            if asks && now - engine.reported > ASK_AFTER && (engine.probe_out || may_ask) {
                 ask.push(e);
                 if ask.len() + below[0].len() >= 2 {
                     break;
@@ -688,9 +674,7 @@
             }
         }
         if !ask.is_empty() {
-            for e in ask {
-                self.asks -= if self.ask(e) { 1.0 } else { 0.0 };
-            }
+            ask.into_iter().for_each(|e| self.asks -= if self.ask(e) { 1.0 } else { 0.0 });
             self.no_room = false;
             return None;
         }
@@ -700,10 +684,8 @@
         if pair.len() < 2 && !self.tight && !many {
             pair = std::mem::take(&mut open[tier]);
             pair.retain(|e| load(&self.engines[e], 0.0, 0.0) < BOUND_MOST);
-            let busy = |e: &usize| {
-                self.engines[e].threads / (self.engines[e].cores * self.warmth(&self.engines[e], now))
-            };
-            pair.sort_by(|a, b| busy(a).total_cmp(&busy(b)));
+            let busy = |e: &Engine| e.threads / (e.cores * self.warmth(e, now));
+            pair.sort_by(|a, b| busy(&self.engines[a]).total_cmp(&busy(&self.engines[b])));
         }
         self.no_room = no_room;
         match pair[..] {
@@ -733,7 +715,8 @@
     }
 
     fn latency(&self, engine: usize, reservation: usize) -> f64 {
-        self.engines[&engine].latency[reservation].or(self.types[reservation].latency).unwrap_or(0.0)
+        let own = self.engines.get(&engine).and_then(|engine| engine.latency[reservation]);
+        own.or(self.types[reservation].latency).unwrap_or(0.0)
     }
 
     /// r = tanh(d), d the Mahalanobis length of the first engine's deviation from its target share.
@@ -853,9 +836,7 @@
     /// Leaves an engine alone, twice as long if that was not long ago, then puts it on trial: one job at a
     /// time until it answers or sends a note. Meets refused and reset connections, flapping and silence.
     fn shun(&mut self, id: usize) {
-        let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.shunned_until <= self.now) else {
-            return;
-        };
+        let Some(engine) = self.engines.get_mut(&id).filter(|e| e.shunned_until <= self.now) else { return };
         let again = self.now - engine.shunned_until < engine.backoff.times(4.0);
         engine.backoff = if again { Span((engine.backoff.0 * 2).min(BEAT.0 * 32)) } else { BEAT.times(2.0) };
         engine.shunned_until = self.now + engine.backoff;
@@ -865,10 +846,7 @@
 
     /// What follows a dispatch that did not answer: another one where that is allowed and of use.
     fn after_dispatch(&mut self, id: JobId, verdict: Verdict) {
-        let held = &self.jobs[&id];
-        if held.over {
-            return;
-        }
+        let Some(held) = self.jobs.get(&id).filter(|held| !held.over) else { return };
         let useful = self.again(held) && self.now + Span::from_ms(held.bare) < held.sla_ends;
         if verdict != Verdict::Void && useful { self.place(id) } else { self.give_up(id) }
     }
@@ -884,9 +862,8 @@
         }
         let age = (self.now - out.sent).ms();
         let fresh = kind.latency.unwrap_or(0.0) * held.cost / usual_work(kind).max(1.0);
-        let silent = out.share == 0.0
-            && !out.waited
-            && age < 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
+        let notes = 2.0 * self.settings.number("Extra.Progress").unwrap_or(0.0);
+        let silent = out.share == 0.0 && !out.waited && age < notes;
         let remaining = if out.share > 0.0 && !out.waited { age / out.share - age } else { f64::INFINITY };
         let time = (held.sla_ends - self.now).ms();
         // Behind a load there is no use in going where other loads hold the same tables.
@@ -900,10 +877,9 @@
     /// Held jobs go in the order of their billed value for their work; the late ones are given up.
     fn place_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
-        let value =
-            |id: JobId| self.jobs.get(&id).filter(|held| held.waits && !held.over).map(|held| held.value);
-        let mut waiting: Vec<(JobId, f64)> =
-            waiting.into_iter().filter_map(|id| Some((id, value(id)?))).collect();
+        let waits = |id: &JobId| self.jobs.get(id).filter(|held| held.waits && !held.over);
+        let waiting = waiting.into_iter().filter_map(|id| Some((id, waits(&id)?.value)));
+        let mut waiting: Vec<(JobId, f64)> = waiting.collect();
         waiting.sort_by(|a, b| b.1.total_cmp(&a.1));
         // Where a job found no room anywhere, none of its type that needs as much will: spares long lines.
         let mut no_room = vec![f64::INFINITY; self.types.len()];
@@ -931,9 +907,34 @@
         self.step_bounds();
         self.watch_outs();
         self.probe();
+        self.let_go();
         self.place_waiting();
     }
 
+    /// Forgets what can't matter any more: engines that left a while ago and that no open job has to do with,
+    /// and table groups and keys that were not met of late. All of these may be ever new.
+    fn let_go(&mut self) {
+        let now = self.now;
+        let met: Vec<usize> = self.jobs.values().flat_map(Held::engines).collect();
+        self.engines.retain(|id, engine| {
+            engine.holds.retain(|_, until| *until > now);
+            let keep = engine.listing.stage != Stage::Gone || now - engine.heard < FORGET || met.contains(id);
+            self.decided.forgotten.extend((!keep).then_some(EngineId(*id as u32)));
+            keep
+        });
+        self.cold.retain(|id| self.engines.contains_key(id));
+        self.traffic.groups.retain(|_, met| now - met.at < FORGET);
+        self.orders.retain(|group, _| self.traffic.groups.contains_key(group));
+        self.turns.retain(|_, turns| !turns.is_empty());
+        self.rests.retain(|_, rest| *rest > now);
+    }
+
+    /// How much it remembers, for whoever watches that this does not grow.
+    pub fn kept(&self) -> usize {
+        let groups = self.orders.len() + self.traffic.groups.len();
+        self.engines.len() + self.jobs.len() + groups + self.turns.len() + self.rests.len()
+    }
+
     /// An engine from which nothing is heard though notes are due is left alone.
     fn watch_outs(&mut self) {
         let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,7 +67,7 @@
     pub threads: Fading,
     pub memory: Fading,
     pub billed: Fading,
-    groups: BTreeMap<u64, Fading>,
+    pub groups: BTreeMap<u64, Fading>,
     jobs: Fading,
 }
 
@@ -411,6 +411,13 @@
     pub waits: bool,
 }
 
+impl Held {
+    /// The engines that its dispatches concern.
+    pub fn engines(&self) -> impl Iterator<Item = usize> {
+        self.out.iter().map(|out| out.engine).chain(self.may_have_run.map(|(engine, _)| engine))
+    }
+}
+
 /// Moves an average by part of the way from where it is, or from `absent`, to `x`.
 pub fn step(average: &mut Option<f64>, absent: f64, part: f64, x: f64) {
     let before = average.unwrap_or(absent);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -814,3 +814,36 @@
     "#]],
     );
 }
+
+/// Engines, table groups and keys may be ever new: what can't matter any more is forgotten, what is open is not.
+#[test]
+fn nothing_grows_with_what_is_ever_new() {
+    let mut desk = Desk::new(&[("Contract.OrderPause", 300.0)], 2);
+    let (mut trace, mut open) = (String::new(), vec![]);
+    for round in 0..6 {
+        let old = (0..10).map(|i| engine(10 * round + i, Stage::Gone, None));
+        let new = (0..10).map(|i| engine(10 * round + 10 + i, Stage::Running, None));
+        desk.list(true, old.chain(new).collect());
+        for i in 0..100 {
+            let ordered = desk.take(ORDERED, u64::from(1000 * round + i), Some(u64::from(1000 * round + i)));
+            desk.settle(ordered, 0, Verdict::Done, 10.0);
+        }
+        open.push(desk.take(LOOKUP, 1, None));
+        desk.pass(61_000.0);
+        let kept = desk.logic.kept();
+        if open.len() > 1 {
+            desk.settle(open.remove(0), 0, Verdict::TimedOut, 61_000.0);
+        }
+        desk.pass(300.0);
+        writeln!(trace, "{kept} kept with {} jobs out, then {}", open.len(), desk.logic.kept()).unwrap();
+    }
+    expect![[r#"
+        11 kept with 1 jobs out, then 11
+        13 kept with 1 jobs out, then 11
+        13 kept with 1 jobs out, then 11
+        13 kept with 1 jobs out, then 11
+        13 kept with 1 jobs out, then 11
+        13 kept with 1 jobs out, then 11
+    "#]]
+    .assert_eq(&trace);
+}
