Nothing is learnt of estimates past what a client could wait for

A probe of the module's beliefs showed the bias of told costs at 0.00 on all three nodes: bad clients send figures up to the door's limit, and one told cost of 1e11 ms kept the type's mean of told costs wrong for over a minute (it fades by e in five seconds, and has 20 such steps to go). From then on each job of the type looked as if it needed no work: SLA times too short, the wrong ones given up or sent last, none of the hopeless ones seen, the arrival rate's work off as well. At fault: take() in logic.rs, which told kind, traffic and arrivals of every job. Now a told cost counts only if it is less than its client, or any client by the settings, could wait for on the type's threads, and jobs given up on arrival count for nothing; a wait past GiveUp is taken as GiveUp. Should hold against any client that invents figures, and broken estimators. Could hurt where estimates are all that far off. The new test fails without it: a job after the hostile one is throttled.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,14 +161,16 @@
     pub fn take(&mut self, now: Moment, id: JobId, job: Job) -> Decided {
         self.now = now;
         self.taken.add(now, self.span("Contract.BudgetWindow"), 1.0);
-        let kind = &mut self.types[job.reservation];
-        kind.tell(now, RECENT, &job);
+        let ends = (now + job.left.min(self.types[job.reservation].wait)).min(self.stops);
+        let (guard, kind) = (ends - self.guard(), &mut self.types[job.reservation]);
+        // Estimates may be hostile: of one of more work than a client could wait for nothing is learnt.
+        kind.tell(now, RECENT, &job, (ends - now).ms() * kind.threads);
         let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
         let cost = job.cost.map_or(usual_work(kind), |told| told.ms() * bias);
         let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let held = Held {
             taken: now,
-            ends: (now + job.left).min(self.stops),
+            ends,
             sla_ends: now + sla,
             cost,
             bare: cost / kind.threads,
@@ -177,22 +179,21 @@
             job,
             ..Held::default()
         };
-        self.traffic.add(now, CALM_OVER, &held, kind);
-        self.arrivals.add(now, RECENT, cost, 1.0);
+        let possible = now + Span::from_ms(0.7 * held.bare) <= guard;
+        if possible {
+            self.traffic.add(now, CALM_OVER, &held, kind);
+            self.arrivals.add(now, RECENT, cost, 1.0);
+        }
         let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
         let asks = if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB };
         self.asks = (self.asks + asks).min(12.0);
-        let (guard, bare) = (held.ends - self.guard(), Span::from_ms(held.bare));
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             self.turns.entry(key).or_default().push_back(id);
         }
         self.jobs.insert(id, held);
         self.at(guard, move |logic| logic.give_up(id));
-        if now + bare.times(0.7) > guard {
-            self.give_up(id);
-        } else {
-            self.place(id);
-        }
+        let first = if possible { Logic::place } else { Logic::give_up };
+        first(self, id);
         self.finish()
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,6 +155,8 @@
     pub group: String,
     pub window: Span,
     pub sla: Span,
+    /// How long its clients wait.
+    pub wait: Span,
     pub stretch: f64,
     pub billed: f64,
     pub threads: f64,
@@ -175,10 +177,10 @@
 }
 
 impl Reservation {
-    /// Adds what a job is told to cost and need.
-    pub fn tell(&mut self, now: Moment, life: Span, job: &Job) {
-        if let Some(told) = job.cost {
-            self.told_cost.add(now, life, told.ms(), 1.0);
+    /// Adds what a job is told to cost, if that is less than `most`, and need.
+    pub fn tell(&mut self, now: Moment, life: Span, job: &Job, most: f64) {
+        if let Some(told) = job.cost.map(Span::ms).filter(|told| *told < most) {
+            self.told_cost.add(now, life, told, 1.0);
         }
         if let Some(memory) = job.memory_mb {
             self.memory.add(now, life, memory, 1.0);
@@ -197,6 +199,7 @@
             group: settings.text(&format!("Classes.{i}.Group")).to_string(),
             window: Span::from_ms(number("DedupWindow")),
             sla: Span::from_ms(number("Aim")),
+            wait: settings.number(&format!("Classes.{i}.GiveUp")).map_or(Span(i64::MAX), Span::from_ms),
             stretch: number("AimStretch"),
             billed: number("Worth"),
             threads: settings.number(&extra("ClassThreads")).unwrap_or(1.0).max(1.0),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -27,6 +27,10 @@
     jobs: u32,
     /// Engines whose connections break take new ones.
     lively: bool,
+    /// The work that jobs are told to need.
+    cost: Option<f64>,
+    /// How long clients say that they wait.
+    left: f64,
 }
 
 fn settings(more: &[(&str, f64)]) -> Settings {
@@ -85,6 +89,8 @@
             sent: vec![],
             jobs: 0,
             lively: false,
+            cost: Some(100.0),
+            left: 4000.0,
         };
         desk.list(true, (0..engines).map(|i| engine(i, Stage::Running, None)).collect());
         desk
@@ -123,8 +129,8 @@
             reservation,
             group,
             key,
-            left: Span::from_ms(4000.0),
-            cost: Some(Span::from_ms(100.0)),
+            left: Span::from_ms(self.left),
+            cost: self.cost.map(Span::from_ms),
             memory_mb: Some(200.0),
             ..Job::default()
         };
@@ -847,3 +853,33 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// Estimates may be hostile. One of more work than any client waits for is given up, and later jobs are judged as if it
+/// had not come; one that claims a day to wait, too.
+#[test]
+fn a_monstrous_estimate_teaches_nothing() {
+    let mut desk = Desk::new(&[("Classes.0.GiveUp", 4000.0)], 2);
+    for cost in [Some(100.0), Some(9e10), None, Some(5e7), None] {
+        desk.cost = cost;
+        desk.left = if cost == Some(5e7) { 8.64e7 } else { 4000.0 };
+        let job = desk.take(LOOKUP, 1, None);
+        desk.pass(50.0);
+        desk.settle(job, 0, Verdict::Done, 50.0);
+    }
+    same(
+        desk,
+        expect![[r#"
+            0     list [0 Running, 1 Running]:
+            0     take 0: send 0 to 0
+            50    Done 0.0:
+            50    take 1: throttle 1
+            100   Done 1.0:
+            100   take 2: send 2 to 1
+            150   Done 2.0:
+            150   take 3: throttle 3
+            200   Done 3.0:
+            200   take 4: send 4 to 1
+            250   Done 4.0:
+        "#]],
+    );
+}
