Jobs that wait for a connection have the next free one, or go elsewhere at once

Seen while a missing test was written (a dispatch that waits for its connection while its engine drains): where all connections to an engine are full, a connection that came free was given to nobody until the next dispatch or the wait's end (an eighth of the settings' connect time), and what waited at a draining engine stayed there for that and a connect time more, though it could never leave (10 s with a connect time of 9 s). At fault: leave() and open() in memory/engines.rs. Now each order looks for what waits, and a closed engine gives back what waits at once. The new test fails without either.

--- a/crates/server/src/memory/counts.rs
+++ b/crates/server/src/memory/counts.rs
@@ -14,16 +14,15 @@
 /// Jobs that found one of the program's own limits reached.
 pub static AT_LIMIT: Count = Count("at_limit", AtomicU64::new(0));
 pub static UNUSABLE: Count = Count("unusable", AtomicU64::new(0));
-/// Idle clients that made room for others, and new ones for which there was none.
+/// Idle clients that made room for others.
 pub static MADE_ROOM: Count = Count("made_room", AtomicU64::new(0));
-pub static TURNED_AWAY: Count = Count("turned_away", AtomicU64::new(0));
 pub static CUT_CLIENTS: Count = Count("cut_clients", AtomicU64::new(0));
 /// Words of engines that nobody waited for.
 pub static STRAY_WORDS: Count = Count("stray_words", AtomicU64::new(0));
 pub static LOST_CONNECTIONS: Count = Count("lost_connections", AtomicU64::new(0));
 pub static ODD_EVENTS: Count = Count("odd_events", AtomicU64::new(0));
 
-static ALL: [&Count; 13] = [
+static ALL: [&Count; 12] = [
     &TAKEN,
     &DONE,
     &THROTTLED,
@@ -32,7 +31,6 @@
     &AT_LIMIT,
     &UNUSABLE,
     &MADE_ROOM,
-    &TURNED_AWAY,
     &CUT_CLIENTS,
     &STRAY_WORDS,
     &LOST_CONNECTIONS,
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -105,6 +105,7 @@
         told: Told,
     },
     Restarted(Moment),
+    Closed,
     Gone,
 }
 
@@ -159,9 +160,12 @@
         Ok(Arc::new(Engine { orders, open, numbers: AtomicU64::new(0) }))
     }
 
-    /// Whether dispatches may leave; one that still waits then never does.
+    /// Whether dispatches may leave; one that still waits then never does, and its job is told at once.
     pub fn open(&self, open: bool) {
         self.open.store(open, SeqCst);
+        if !open {
+            let _ = self.orders.try_send(Order::Closed);
+        }
     }
 
     pub fn send(self: &Arc<Self>, request: Request) -> Out {
@@ -332,8 +336,16 @@
                     self.lost(connection, "the engine started anew");
                 }
             }
+            Order::Closed if !self.open.load(SeqCst) => {
+                std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
+            }
+            Order::Closed => {}
             Order::Gone => self.gone = true,
         }
+        // Whatever has come to an end may have left a connection to what waits.
+        if !self.waiting.is_empty() {
+            self.assign_waiting();
+        }
     }
 
     fn enter(&mut self, number: u64, id: Box<str>, what: What) {
--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -242,9 +242,16 @@
     pub fn start(engines: &Engines, bus: &Bus) -> Program {
         Program::with(config(engines, &bus.address))
     }
-    pub fn with(mut config: Json) -> Program {
+    pub fn with(config: Json) -> Program {
+        Program::with_descriptors(config, 1024)
+    }
+    /// Starts it where the system gives so many descriptors.
+    pub fn with_descriptors(mut config: Json, most: u32) -> Program {
         config["listen"] = json!("127.0.0.1:0");
-        let (mut command, file) = Program::command(&config);
+        let (plain, file) = Program::command(&config);
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {most} && exec \"$0\"")]).arg(plain.get_program());
+        command.env("NODE_CONFIG", &file).env_remove("NODE_NAME").env_remove("NODE_LISTEN");
         let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
         let log = BufReader::new(child.stdout.take().unwrap());
         let mut lines = log.lines().map_while(Result::ok);
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -247,6 +247,34 @@
     .assert_eq(&trace);
 }
 
+/// What waits for a connection has the next one that is free, and never leaves once its engine drains: its job goes
+/// elsewhere at once.
+#[test]
+fn what_waits_for_a_connection_goes_when_it_can_or_elsewhere() {
+    let (engines, mut bus) = (Engines::start(2), Bus::start());
+    let engine = |i: usize, state: &str| entry(&format!("e{i}"), &engines.addresses[i], state);
+    // Eight connections to an engine, one job on each; waiting ends by itself only after nine seconds.
+    let mut few = config(&engines, &bus.address);
+    few["limits"]["sockets"] = json!(120);
+    few["known"]["batch"] = json!([event(1, true, vec![engine(0, "in_service")])]);
+    few["settings"]["Ceilings"]["StreamsPerConn"] = json!(1);
+    few["settings"]["Ceilings"]["DialTimeout"] = json!(9000.0);
+    let program = Program::with(few);
+    let mut client = program.client();
+    (1..=10).for_each(|message| client.ask(message, "load", 8_000));
+    let out: Vec<Seen> = (1..=8).map(|_| engines.next()).collect();
+    out[0].says("HIT", "-", "");
+    let mut ends = vec![(out[0].engine, client.next().ends_with(": done "))];
+    let next = engines.next();
+    bus.event(2, false, vec![engine(0, "terminating"), engine(1, "in_service")]);
+    let last = engines.next();
+    for seen in [next, last] {
+        seen.says("HIT", "-", "");
+        ends.push((seen.engine, client.next().ends_with(": done ")));
+    }
+    assert_eq!(ends, [(0, true), (0, true), (1, true)]);
+}
+
 /// Nothing ran where no connection was made, so that even a run-once job may go to another engine.
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
@@ -578,6 +606,18 @@
     });
 }
 
+/// Where the system gives fewer descriptors than the limits promise, clients come in as others leave.
+#[test]
+fn clients_wait_for_descriptors_that_the_system_does_not_give() {
+    let (engines, bus) = (Engines::start(1), Bus::start());
+    let program = Program::with_descriptors(config(&engines, &bus.address), 24);
+    let mut clients: Vec<Client> = (0..40).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| client.is_well(1));
+    for mut client in clients {
+        assert_eq!(client.next(), "1: well true");
+    }
+}
+
 /// A client that takes none of its answers holds up nobody else.
 #[test]
 fn a_slow_reader_stops_nobody_else() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -162,20 +162,20 @@
         self.now = now;
         self.taken.add(now, self.span("Contract.BudgetWindow"), 1.0);
         let ends = (now + job.left.min(self.types[job.reservation].wait)).min(self.stops);
+        let largest = self.running.iter().map(|e| self.engines[e].memory_mb).fold(0.0, f64::max);
         let (guard, kind) = (ends - self.guard(), &mut self.types[job.reservation]);
-        // Estimates may be hostile: of one of more work than a client could wait for nothing is learnt.
-        kind.tell(now, RECENT, &job, (ends - now).ms() * kind.threads);
+        // Estimates may be hostile: nothing is learnt of more work than clients wait for, or memory than there is.
+        kind.tell(now, RECENT, &job, (ends - now).ms() * kind.threads, largest);
         let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
         let cost = job.cost.map_or(usual_work(kind), |told| told.ms() * bias);
-        let sla = kind.sla + Span::from_ms(kind.stretch * cost / kind.threads);
         let held = Held {
             taken: now,
             ends,
-            sla_ends: now + sla,
+            sla_ends: now + kind.sla + Span::from_ms(kind.stretch * cost / kind.threads),
             cost,
             bare: cost / kind.threads,
             value: kind.billed / (cost.max(1.0) / 1000.0),
-            memory: job.memory_mb.unwrap_or(kind.memory.mean_or(0.0)),
+            memory: job.memory_mb.filter(|mb| *mb <= largest).unwrap_or(kind.memory.mean_or(0.0)),
             job,
             ..Held::default()
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -177,12 +177,12 @@
 }
 
 impl Reservation {
-    /// Adds what a job is told to cost, if that is less than `most`, and need.
-    pub fn tell(&mut self, now: Moment, life: Span, job: &Job, most: f64) {
+    /// Adds what a job is told to cost and need, each as long as it is possible.
+    pub fn tell(&mut self, now: Moment, life: Span, job: &Job, most: f64, largest: f64) {
         if let Some(told) = job.cost.map(Span::ms).filter(|told| *told < most) {
             self.told_cost.add(now, life, told, 1.0);
         }
-        if let Some(memory) = job.memory_mb {
+        if let Some(memory) = job.memory_mb.filter(|memory| *memory <= largest) {
             self.memory.add(now, life, memory, 1.0);
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -858,7 +858,7 @@
 /// had not come; one that claims a day to wait, too.
 #[test]
 fn a_monstrous_estimate_teaches_nothing() {
-    let mut desk = Desk::new(&[("Classes.0.GiveUp", 4000.0)], 2);
+    let mut desk = Desk::new(&[("Classes.0.GiveUp", 4000.0), ("Classes.0.AimStretch", 10.0)], 2);
     for cost in [Some(100.0), Some(9e10), None, Some(5e7), None] {
         desk.cost = cost;
         desk.left = if cost == Some(5e7) { 8.64e7 } else { 4000.0 };
@@ -866,6 +866,11 @@
         desk.pass(50.0);
         desk.settle(job, 0, Verdict::Done, 50.0);
     }
+    // Nor is one kept for longer than the settings say that clients wait.
+    desk.list(true, vec![]);
+    (desk.cost, desk.left) = (Some(3000.0), 8.64e7);
+    desk.take(LOOKUP, 1, None);
+    desk.pass(5000.0);
     same(
         desk,
         expect![[r#"
@@ -880,6 +885,9 @@
             200   Done 3.0:
             200   take 4: send 4 to 1
             250   Done 4.0:
+            250   list []:
+            250   take 5:
+            4240  : throttle 5
         "#]],
     );
 }
