--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -29,8 +29,9 @@
     lively: bool,
     /// The work that jobs are told to need.
     cost: Option<f64>,
-    /// How long clients say that they wait.
+    /// How long clients say that they wait, and the memory that they tell.
     left: f64,
+    memory: f64,
 }
 
 fn settings(more: &[(&str, f64)]) -> Settings {
@@ -91,6 +92,7 @@
             lively: false,
             cost: Some(100.0),
             left: 4000.0,
+            memory: 200.0,
         };
         desk.list(true, (0..engines).map(|i| engine(i, Stage::Running, None)).collect());
         desk
@@ -131,7 +133,7 @@
             key,
             left: Span::from_ms(self.left),
             cost: self.cost.map(Span::from_ms),
-            memory_mb: Some(200.0),
+            memory_mb: Some(self.memory),
             ..Job::default()
         };
         let decided = self.logic.take(self.moment(), JobId(id), job);
@@ -891,3 +893,21 @@
         "#]],
     );
 }
+
+/// Nor is more memory believed than any running engine has: such a job does not fill its engine for the others.
+#[test]
+fn memory_past_any_engine_is_not_believed() {
+    let mut desk = Desk::new(&[("Extra.RamOfKindMb.0", 1000.0)], 1);
+    desk.memory = 1e9;
+    desk.take(LOOKUP, 1, None);
+    desk.memory = 200.0;
+    desk.take(LOOKUP, 1, None);
+    same(
+        desk,
+        expect![[r#"
+        0     list [0 Running]:
+        0     take 0: send 0 to 0
+        0     take 1: send 1 to 0
+    "#]],
+    );
+}
