One thread owns all engines: 300 gateways no longer run out of threads

With logs, 346 processes wrote "cannot start a thread: Resource temporarily unavailable (os error 11)", seven "cannot start the module's thread", others "engine s-: no thread". Ruled out: memory (6 of 48 MB), descriptors (12 of 608), the shell line of `run`.

At fault: `Engine::start` in memory/engines.rs, a thread an engine, each awake four times a second. Now an engine's owner is plain state; `memory/owners.rs` has the one thread of all owners, which sleeps until something is due and does not wake at all without connections. What the list tells an owner (new, restarted, closed, gone) goes by one slot an engine that is never lost and never waited for: the module's thread must not wait for a thread that may wait for the module.

Test: 1,024 engines in `known`, all replaced by one event, at the least limits (24 MB, 100 descriptors): at most 16 threads, jobs served before and after; with a thread an engine it counts over 1,000.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -1,9 +1,8 @@
 //! The thread that owns the module. Calls reach it through one bounded channel, in order of arrival, and
 //! each `Decided` is carried out in its order before the next call. It decides nothing.
 
-use crate::memory::budget::Budget;
-use crate::memory::engines::{Engine, Terms};
-use crate::memory::readers::Readers;
+use crate::memory::engines::Engine;
+use crate::memory::owners::Owners;
 use crate::service::clock;
 use crate::wire::bus::Event;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
@@ -64,13 +63,12 @@
         settings: Settings,
         seed: u64,
         known: Vec<Event>,
-        terms: Terms,
-        sockets: Arc<Budget>,
+        owners: Arc<Owners>,
     ) -> std::io::Result<Arc<Desk>> {
         let (calls, inbox) = bounded(CALLS);
         let (ready, started) = bounded(1);
         let desk = Arc::new(Desk { calls, next: Mutex::default(), open: AtomicUsize::new(0) });
-        let (handle, readers) = (desk.clone(), Readers::start()?);
+        let handle = desk.clone();
         crate::thread("module", MODULE_STACK, move || {
             let names = |list: &str| -> Vec<String> {
                 let named = (0..).map(|i| settings.text(&format!("{list}.{i}")).to_string());
@@ -86,9 +84,7 @@
                 engines: BTreeMap::new(),
                 zones,
                 machines,
-                terms,
-                sockets,
-                readers,
+                owners,
             };
             owner.listed_at_start(known);
             let _ = ready.send(());
@@ -149,9 +145,7 @@
     engines: BTreeMap<EngineId, Known>,
     zones: Vec<String>,
     machines: Vec<String>,
-    terms: Terms,
-    sockets: Arc<Budget>,
-    readers: Arc<Readers>,
+    owners: Arc<Owners>,
 }
 
 struct Known {
@@ -311,10 +305,7 @@
             };
             let id = self.numbers.number(&entry.name);
             named.push(id);
-            if let Err(e) = self.know(id, address, entry.stage, entry.started) {
-                tracing::warn!("engine {}: no thread: {e}", entry.name);
-                continue;
-            }
+            self.know(id, address, entry.stage, entry.started);
             listings.push(Listing {
                 engine: id,
                 machine: position(&self.machines, &entry.machine).unwrap_or(usize::MAX),
@@ -341,13 +332,7 @@
     }
 
     /// Keeps the handle on an engine in step with the list.
-    fn know(
-        &mut self,
-        id: EngineId,
-        address: SocketAddr,
-        stage: Stage,
-        started: Option<Moment>,
-    ) -> std::io::Result<()> {
+    fn know(&mut self, id: EngineId, address: SocketAddr, stage: Stage, started: Option<Moment>) {
         let same = |known: &&mut Known| known.address == address && known.stage != Stage::Gone;
         if let Some(known) = self.engines.get_mut(&id).filter(same) {
             if let Some(at) = started.filter(|_| known.started != started) {
@@ -360,16 +345,13 @@
             for old in self.engines.values().filter(|old| old.address == address && stage == Stage::Running) {
                 old.engine.gone();
             }
-            let (name, sockets, readers) =
-                (self.numbers.name(id), self.sockets.clone(), self.readers.clone());
-            let engine = Engine::start(name, address, self.terms, sockets, readers, clock::now)?;
+            let engine = Engine::new(&self.owners, self.numbers.name(id), address);
             self.engines.insert(id, Known { engine, address, started, stage });
         }
         self.engines[&id].engine.open(stage == Stage::Running);
         if stage == Stage::Gone {
             self.forget(id);
         }
-        Ok(())
     }
 
     /// Nothing is sent there any more; what is still out there ends by itself.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,6 +8,7 @@
 mod wire;
 
 use memory::budget::{Budget, Shares};
+use memory::owners::Owners;
 use service::config::Config;
 use service::{bus, clients, clock, reload, stop};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -59,14 +60,10 @@
     let types = config.types();
     let shares = Shares::of(config.limits);
     let (sockets, terms) = (Budget::new(shares.engines), config.terms(shares.engine));
-    let desk = desk::Desk::start(
-        config.settings.clone(),
-        config.seed,
-        std::mem::take(&mut config.known),
-        terms,
-        sockets,
-    )
-    .map_err(cannot("start the module's thread"))?;
+    let owners = Owners::start(terms, sockets, clock::now).map_err(cannot("start the engines' thread"))?;
+    let desk =
+        desk::Desk::start(config.settings.clone(), config.seed, std::mem::take(&mut config.known), owners)
+            .map_err(cannot("start the module's thread"))?;
     let health = Arc::new(stop::Health::default());
     let door = clients::Door::new(desk.clone(), health.clone(), types, &shares);
     let listener = TcpListener::bind(config.listen)
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -1,14 +1,16 @@
-//! Engines and their connections. A thread for each engine owns all connections to it, knows what is out on
-//! each and writes to them, without ever waiting; `readers.rs` reads them. Connecting has a thread of its own.
+//! Engines and their connections. An engine's owner has all connections to it, knows what is out on each and
+//! writes to them, without ever waiting; `owners.rs` has the one thread of all owners, `readers.rs` reads the
+//! connections. Connecting has a thread of its own.
 //!
 //! A dispatch has a connection to itself as long as the descriptors allow it, for whatever spoils a connection
 //! ends all that is out on it.
 
 use super::budget::{Budget, Lease};
 use super::counts;
+use super::owners::Owners;
 use super::readers::{Ear, Readers, Told};
 use crate::wire::engine::{self as wire, Word};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use pebblevane::interface::*;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::{ErrorKind, Write};
@@ -18,7 +20,6 @@
 use std::time::{Duration, Instant};
 
 // A channel takes memory for all that it may hold once it has gone round, so that bounds are no larger than bursts.
-const ORDERS: usize = 512; // orders that wait for an engine's owner
 const WORDS: usize = 32; // words of an engine that wait for one job
 const SPENT: usize = 64; // ids used up on one connection, after which it takes nothing new
 const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
@@ -26,7 +27,6 @@
 const FRESH: Duration = Duration::from_millis(20); // a rest of so long harms no connection
 const STALE: Duration = Duration::from_secs(10); // without a stale connection, longer rests are tried again
 const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
-const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
 const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
 
 /// What the settings say of connections.
@@ -45,7 +45,7 @@
 
 /// Whether a dispatch has left this program: the last check before its first byte goes out.
 #[derive(Default)]
-struct Gate(AtomicU8);
+pub struct Gate(AtomicU8);
 
 const QUEUED: u8 = 0;
 const SENT: u8 = 1;
@@ -77,9 +77,10 @@
     pub statement: Arc<[u8]>,
 }
 
-type Probed = Box<dyn FnOnce(Verdict, Report) + Send>;
+pub type Probed = Box<dyn FnOnce(Verdict, Report) + Send>;
 
-enum Order {
+/// What an engine's owner is to do.
+pub enum Order {
     Send {
         number: u64,
         request: Request,
@@ -104,14 +105,25 @@
         connection: u64,
         told: Told,
     },
-    Restarted(Moment),
-    Closed,
-    Gone,
+    /// The list has told something, of whichever engine.
+    Look,
+}
+
+/// What the list has told of an engine since its owner last looked.
+#[derive(Default)]
+pub struct News {
+    pub new: Option<Box<Owner>>,
+    /// The engine has started anew: connections from before are dead.
+    pub restarted: Option<Moment>,
+    /// Dispatches may not leave any more.
+    pub closed: bool,
+    pub gone: bool,
 }
 
 /// The handle on an engine's owner.
 pub struct Engine {
-    orders: Sender<Order>,
+    owners: Arc<Owners>,
+    key: u64,
     open: Arc<AtomicBool>,
     numbers: AtomicU64,
 }
@@ -125,82 +137,50 @@
 }
 
 impl Engine {
-    pub fn start(
-        name: &str,
-        address: SocketAddr,
-        terms: Terms,
-        sockets: Arc<Budget>,
-        readers: Arc<Readers>,
-        now: fn() -> Moment,
-    ) -> std::io::Result<Arc<Engine>> {
-        let (orders, inbox) = bounded(ORDERS);
-        let open = Arc::new(AtomicBool::new(true));
-        let owner = Owner {
-            name: name.to_string(),
-            address,
-            terms,
-            sockets,
-            readers,
-            now,
-            me: orders.clone(),
-            open: open.clone(),
-            outs: HashMap::new(),
-            waiting: VecDeque::new(),
-            dialing: 0,
-            doubtful: Vec::new(),
-            connections: BTreeMap::new(),
-            opened: 0,
-            gone: false,
-            fresh_for: terms.idle,
-            stale_at: Instant::now(),
-            told: None,
-            untold: 0,
-        };
-        crate::thread(&format!("engine {name}"), crate::STACK, move || owner.run(&inbox))?;
-        Ok(Arc::new(Engine { orders, open, numbers: AtomicU64::new(0) }))
+    pub fn new(owners: &Arc<Owners>, name: &str, address: SocketAddr) -> Arc<Engine> {
+        let (key, open) = (owners.next_key(), Arc::new(AtomicBool::new(true)));
+        let owner = Box::new(Owner::new(key, name, address, open.clone()));
+        owners.tell(key, |news| news.new = Some(owner));
+        Arc::new(Engine { owners: owners.clone(), key, open, numbers: AtomicU64::new(0) })
     }
 
     /// Whether dispatches may leave; one that still waits then never does, and its job is told at once.
     pub fn open(&self, open: bool) {
-        self.open.store(open, SeqCst);
-        if !open {
-            let _ = self.orders.try_send(Order::Closed);
+        if self.open.swap(open, SeqCst) && !open {
+            self.owners.tell(self.key, |news| news.closed = true);
         }
     }
 
     pub fn send(self: &Arc<Self>, request: Request) -> Out {
         let (words, heard) = bounded(WORDS);
         let (number, gate) = (self.numbers.fetch_add(1, SeqCst), Arc::new(Gate::default()));
-        let order = Order::Send { number, request, gate: gate.clone(), words: words.clone() };
-        if self.orders.send(order).is_err() {
-            let _ = words.try_send(Heard::Lost(Verdict::Unreachable, false));
-        }
+        let order = Order::Send { number, request, gate: gate.clone(), words };
+        self.owners.order(self.key, order);
         Out { number, engine: self.clone(), gate, words: heard }
     }
 
     /// Sends a probe; `told` is handed its result, or given back if the engine's owner can't take it.
     pub fn probe(&self, told: Probed) -> Result<(), Probed> {
         let number = self.numbers.fetch_add(1, SeqCst);
-        self.orders.try_send(Order::Probe { number, told }).map_err(|refused| match refused.into_inner() {
+        self.owners.try_order(self.key, Order::Probe { number, told }).map_err(|refused| match refused {
             Order::Probe { told, .. } => told,
             _ => Box::new(|_, _| {}),
         })
     }
 
-    /// The engine has started anew: connections from before are dead.
     pub fn restarted(&self, at: Moment) {
-        let _ = self.orders.try_send(Order::Restarted(at));
+        self.owners.tell(self.key, |news| news.restarted = Some(at));
     }
 
     pub fn gone(&self) {
-        self.open(false);
-        let _ = self.orders.try_send(Order::Gone);
+        self.open.store(false, SeqCst);
+        self.owners.tell(self.key, |news| (news.closed, news.gone) = (true, true));
     }
 }
 
 impl Out {
     pub fn fetch(&self, page: u32) {
-        let _ = self.engine.orders.send(Order::Fetch { number: self.number, page });
+        self.engine.owners.order(self.engine.key, Order::Fetch { number: self.number, page });
     }
     /// Keeps it from leaving if it has not yet; says whether that came in time.
     pub fn withhold(&self) -> bool {
@@ -213,7 +193,7 @@
     /// Gives it up and waits until that is written: the job's next dispatch must not overtake it.
     pub fn give_up(&self) {
         let (done, given_up) = bounded(0);
-        let _ = self.engine.orders.send(Order::GiveUp { number: self.number, done: Some(done) });
+        self.engine.owners.order(self.engine.key, Order::GiveUp { number: self.number, done: Some(done) });
         let _ = given_up.recv_timeout(GIVEN_UP);
     }
 }
@@ -221,18 +201,23 @@
 impl Drop for Out {
     fn drop(&mut self) {
         self.withhold();
-        let _ = self.engine.orders.send(Order::GiveUp { number: self.number, done: None });
+        self.engine.owners.order(self.engine.key, Order::GiveUp { number: self.number, done: None });
     }
 }
 
-struct Owner {
+/// What all owners share.
+pub struct Means {
+    pub terms: Terms,
+    pub sockets: Arc<Budget>,
+    pub readers: Arc<Readers>,
+    pub now: fn() -> Moment,
+    pub orders: Sender<(u64, Order)>,
+}
+
+pub struct Owner {
+    key: u64,
     name: String,
     address: SocketAddr,
-    terms: Terms,
-    sockets: Arc<Budget>,
-    readers: Arc<Readers>,
-    now: fn() -> Moment,
-    me: Sender<Order>,
     open: Arc<AtomicBool>,
     outs: HashMap<u64, Entry>,
     /// What waits for a connection, in turn.
@@ -288,101 +273,127 @@
 }
 
 impl Owner {
-    fn run(mut self, inbox: &Receiver<Order>) {
-        let mut sweep = Instant::now() + SWEEP;
-        while !(self.gone && self.outs.is_empty() && self.doubtful.is_empty()) {
-            let due = self.outs.values().filter(|entry| entry.times_out()).map(|entry| entry.due).min();
-            let due = due.map_or(sweep, |due| due.min(sweep));
-            match inbox.recv_deadline(due) {
-                Ok(order) => self.carry_out(order),
-                Err(RecvTimeoutError::Timeout) => self.time_out(),
-                Err(RecvTimeoutError::Disconnected) => break,
-            }
-            if Instant::now() >= sweep {
-                sweep = Instant::now() + SWEEP;
-                self.drop_idle();
-                self.drop_silent();
-            }
+    fn new(key: u64, name: &str, address: SocketAddr, open: Arc<AtomicBool>) -> Owner {
+        Owner {
+            key,
+            name: name.to_string(),
+            address,
+            open,
+            outs: HashMap::new(),
+            waiting: VecDeque::new(),
+            dialing: 0,
+            doubtful: Vec::new(),
+            connections: BTreeMap::new(),
+            opened: 0,
+            gone: false,
+            fresh_for: Duration::MAX,
+            stale_at: Instant::now(),
+            told: None,
+            untold: 0,
         }
+    }
+
+    /// When something is due, whatever comes.
+    pub fn due(&self) -> Option<Instant> {
+        self.outs.values().filter(|entry| entry.times_out()).map(|entry| entry.due).min()
+    }
+
+    /// Whether there are connections to look at now and then.
+    pub fn connected(&self) -> bool {
+        !self.connections.is_empty()
+    }
+
+    /// Nothing can come of it any more.
+    pub fn over(&self) -> bool {
+        self.gone && self.outs.is_empty() && self.doubtful.is_empty()
+    }
+
+    pub fn close(self) {
         for connection in self.connections.values() {
             let _ = connection.stream.shutdown(Shutdown::Both);
         }
-        // What was ordered meanwhile finds nobody.
-        while let Ok(order) = inbox.try_recv() {
-            self.carry_out(order);
+    }
+
+    pub fn hears(&mut self, news: News, means: &Means) {
+        if let Some(at) = news.restarted {
+            let old = self.connections.iter().filter(|(_, connection)| connection.opened < at);
+            for connection in old.map(|(number, _)| *number).collect::<Vec<u64>>() {
+                self.lost(connection, "the engine started anew", means);
+            }
+        }
+        self.gone |= news.gone;
+        if news.closed && !self.open.load(SeqCst) {
+            std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
         }
+        self.assign_waiting(means);
     }
 
-    fn carry_out(&mut self, order: Order) {
+    pub fn sweep(&mut self, means: &Means) {
+        self.drop_idle(means);
+        self.drop_silent(means);
+    }
+
+    pub fn carry_out(&mut self, order: Order, means: &Means) {
         match order {
             Order::Send { number, request, gate, words } => {
                 let id = request.id.clone();
-                self.enter(number, id, What::Dispatch { request, gate, words });
+                self.enter(number, id, What::Dispatch { request, gate, words }, means);
             }
             Order::Probe { number, told } => {
-                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)));
+                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)), means);
             }
-            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page)),
+            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page), means),
             Order::GiveUp { number, done } => {
-                self.give_up(number);
+                self.give_up(number, means);
                 drop(done);
             }
-            Order::Dialed(dialed) => self.dialed(dialed),
+            Order::Dialed(dialed) => self.dialed(dialed, means),
             Order::Told { connection, told: Told::Word(id, word) } => self.heard(connection, &id, word),
-            Order::Told { connection, told: Told::Ended(why) } => self.lost(connection, &why),
-            Order::Restarted(at) => {
-                let old = self.connections.iter().filter(|(_, connection)| connection.opened < at);
-                for connection in old.map(|(number, _)| *number).collect::<Vec<u64>>() {
-                    self.lost(connection, "the engine started anew");
-                }
-            }
-            Order::Closed if !self.open.load(SeqCst) => {
-                std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
-            }
-            Order::Closed => {}
-            Order::Gone => self.gone = true,
+            Order::Look => {}
+            Order::Told { connection, told: Told::Ended(why) } => self.lost(connection, &why, means),
         }
         // Whatever has come to an end may have left a connection to what waits.
-        if !self.waiting.is_empty() {
-            self.assign_waiting();
-        }
+        self.assign_waiting(means);
     }
 
-    fn enter(&mut self, number: u64, id: Box<str>, what: What) {
-        let due = Instant::now() + self.terms.dial / 8;
+    fn enter(&mut self, number: u64, id: Box<str>, what: What, means: &Means) {
+        let due = Instant::now() + means.terms.dial / 8;
         self.outs.insert(
             number,
             Entry { what, id, connection: None, headed: false, shares: false, failed: 0, due },
         );
         self.waiting.push_back(number);
-        self.assign_waiting();
+        self.assign_waiting(means);
     }
 
     /// Finds connections for what waits, in turn, or opens more.
-    fn assign_waiting(&mut self) {
+    fn assign_waiting(&mut self, means: &Means) {
+        if self.waiting.is_empty() {
+            return;
+        }
         while let Some(&number) = self.waiting.front() {
             let Some(entry) = self.outs.get(&number) else {
                 self.waiting.pop_front();
                 continue;
             };
-            let full = self.connections.len() + self.dialing >= self.terms.connections;
-            let Some(key) = self.connection_for(&entry.id, full) else { break };
+            let full = self.connections.len() + self.dialing >= means.terms.connections;
+            let Some(key) = self.connection_for(&entry.id, full, means) else { break };
             self.waiting.pop_front();
-            self.assign(number, key);
+            self.assign(number, key, means);
         }
-        self.dial();
+        self.dial(means);
     }
 
     /// A connection on which no late answer can be taken for that of this id: one with nothing out, best one
     /// that has just proved to work; where no more may be opened, the one with the least out.
-    fn connection_for(&self, id: &str, share: bool) -> Option<u64> {
-        let streams = self.terms.streams;
+    fn connection_for(&self, id: &str, share: bool, means: &Means) -> Option<u64> {
+        let Terms { streams, idle, .. } = means.terms;
         let usable = self.connections.iter().filter(|(_, connection)| {
             connection.spent.len() < SPENT
                 && !connection.spent.contains(id)
                 && !connection.ids.contains_key(id)
                 && match connection.ids.len() {
-                    0 => connection.is_fresh(self.fresh_for, self.terms.idle),
+                    0 => connection.is_fresh(self.fresh_for.min(idle), idle),
                     out => share && out < streams,
                 }
         });
@@ -391,7 +402,7 @@
     }
 
     /// Writes it to a connection, after the last look whether it may still leave.
-    fn assign(&mut self, number: u64, key: u64) {
+    fn assign(&mut self, number: u64, key: u64, means: &Means) {
         let Some(entry) = self.outs.get_mut(&number) else { return };
         let Some(connection) = self.connections.get_mut(&key) else { return };
         let bytes = match &entry.what {
@@ -400,17 +411,17 @@
                     gate.pass(DROPPED);
                     return self.lose(number);
                 }
-                let limit_ms = ((request.ends - (self.now)()).ms().floor() as i64).max(1);
+                let limit_ms = ((request.ends - (means.now)()).ms().floor() as i64).max(1);
                 wire::request(&request.id, &request.class, limit_ms, request.rank, &request.statement)
             }
-            What::Probe(_) => wire::probe(&entry.id, self.terms.reports),
+            What::Probe(_) => wire::probe(&entry.id, means.terms.reports),
         };
         if connection.ids.is_empty() {
             connection.rested = connection.used.then(|| connection.since.elapsed());
             (connection.since, connection.used) = (Instant::now(), true);
         }
         connection.ids.insert(entry.id.clone(), number);
-        (entry.connection, entry.due) = (Some(key), Instant::now() + self.terms.dial);
+        (entry.connection, entry.due) = (Some(key), Instant::now() + means.terms.dial);
         let written = loop {
             match (&*connection.stream).write(&bytes) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -419,7 +430,7 @@
         };
         match written {
             Ok(count) if count == bytes.len() => {}
-            Ok(count) => self.write(key, &bytes[count..]),
+            Ok(count) => self.write(key, &bytes[count..], means),
             Err(e) => {
                 // Not a byte has left: it may go on another connection, if that does not come again and again.
                 connection.ids.remove(&entry.id);
@@ -430,10 +441,10 @@
                     let next = if again { QUEUED } else { DROPPED };
                     let _ = gate.0.compare_exchange(SENT, next, SeqCst, SeqCst);
                 }
-                self.lost(key, &format!("it takes nothing: {e}"));
+                self.lost(key, &format!("it takes nothing: {e}"), means);
                 if again {
                     self.waiting.push_back(number);
-                    self.assign_waiting();
+                    self.assign_waiting(means);
                 } else {
                     self.lose(number);
                 }
@@ -441,27 +452,28 @@
         }
     }
 
-    fn write(&mut self, key: u64, bytes: &[u8]) {
+    fn write(&mut self, key: u64, bytes: &[u8], means: &Means) {
         let Some(connection) = self.connections.get(&key) else { return };
         if let Err(e) = (&*connection.stream).write_all(bytes) {
-            self.lost(key, &format!("it takes no more: {e}"));
+            self.lost(key, &format!("it takes no more: {e}"), means);
         }
     }
 
-    fn dial(&mut self) {
-        let most = self.terms.connections.saturating_sub(self.connections.len());
-        while self.dialing < self.waiting.len().min(most) && self.dial_once() {}
+    fn dial(&mut self, means: &Means) {
+        let most = means.terms.connections.saturating_sub(self.connections.len());
+        while self.dialing < self.waiting.len().min(most) && self.dial_once(means) {}
         if self.dialing == 0 {
-            self.share();
+            self.share(means);
         }
     }
 
-    fn dial_once(&mut self) -> bool {
-        let Some(lease) = self.sockets.lease(1) else { return false };
-        let (address, dial, me) = (self.address, self.terms.dial, self.me.clone());
+    fn dial_once(&mut self, means: &Means) -> bool {
+        let Some(lease) = means.sockets.lease(1) else { return false };
+        let (key, address, dial, orders) = (self.key, self.address, means.terms.dial, means.orders.clone());
         let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
             let stream = TcpStream::connect_timeout(&address, dial);
-            let _ = me.send(Order::Dialed(stream.map(|stream| (stream, lease)).map_err(|e| e.to_string())));
+            let dialed = stream.map(|stream| (stream, lease)).map_err(|e| e.to_string());
+            let _ = orders.send((key, Order::Dialed(dialed)));
         });
         match dialed {
             Ok(()) => self.dialing += 1,
@@ -471,43 +483,45 @@
     }
 
     /// Where no connection can be made, those that are there are shared.
-    fn share(&mut self) {
+    fn share(&mut self, means: &Means) {
         while let Some(&number) = self.waiting.front() {
             let entry = self.outs.get(&number);
-            let Some(key) = entry.and_then(|entry| self.connection_for(&entry.id, true)) else { return };
+            let Some(key) = entry.and_then(|entry| self.connection_for(&entry.id, true, means)) else {
+                return;
+            };
             self.waiting.pop_front();
-            self.assign(number, key);
+            self.assign(number, key, means);
         }
     }
 
-    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>) {
+    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>, means: &Means) {
         self.dialing -= 1;
         let taken = dialed.is_ok();
         for words in std::mem::take(&mut self.doubtful) {
             let _ = words.try_send(Heard::Lost(Verdict::Broken, taken));
         }
         let connected = dialed.and_then(|(stream, lease)| {
-            self.connect(stream, lease).map_err(|e| format!("it can't be read: {e}"))
+            self.connect(stream, lease, means).map_err(|e| format!("it can't be read: {e}"))
         });
         if let Err(why) = connected {
             self.tell(|name, rest| format!("engine {name}: cannot connect: {why}{rest}"));
             if self.dialing == 0 {
-                self.share();
+                self.share(means);
                 std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
             }
             return;
         }
-        self.assign_waiting();
+        self.assign_waiting(means);
     }
 
-    fn connect(&mut self, stream: TcpStream, lease: Lease) -> std::io::Result<()> {
+    fn connect(&mut self, stream: TcpStream, lease: Lease, means: &Means) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_nonblocking(true)?;
         let stream = Arc::new(stream);
         self.opened += 1;
-        let (connection, me) = (self.opened, self.me.clone());
-        let tell = Box::new(move |told| drop(me.send(Order::Told { connection, told })));
-        self.readers.add(Ear::new(stream.clone(), self.terms.dial, tell))?;
+        let (key, connection, orders) = (self.key, self.opened, means.orders.clone());
+        let tell = Box::new(move |told| drop(orders.send((key, Order::Told { connection, told }))));
+        means.readers.add(Ear::new(stream.clone(), means.terms.dial, tell))?;
         let connection = Connection {
             stream,
             ids: HashMap::new(),
@@ -516,7 +530,7 @@
             rested: None,
             used: false,
             heard: Instant::now(),
-            opened: (self.now)(),
+            opened: (means.now)(),
             _lease: lease,
         };
         self.connections.insert(self.opened, connection);
@@ -586,7 +600,7 @@
 
     /// The job no longer wants it. On a connection that has said nothing for a while nobody may be reading, and
     /// only its end gives up for certain what is out there.
-    fn give_up(&mut self, number: u64) {
+    fn give_up(&mut self, number: u64, means: &Means) {
         let Some(Entry { connection: Some(key), what, headed, .. }) = self.outs.get(&number) else {
             return drop(self.leave(number, false));
         };
@@ -596,21 +610,21 @@
             What::Probe(_) => false,
         };
         let silent =
-            |connection: &Connection| connection.ids.len() == 1 && connection.quiet_for() > self.terms.dial;
+            |connection: &Connection| connection.ids.len() == 1 && connection.quiet_for() > means.terms.dial;
         if left && !headed && self.connections.get(&key).is_some_and(silent) {
             self.leave(number, true);
-            return self.lost(key, "what was out there was given up");
+            return self.lost(key, "what was out there was given up", means);
         }
         if left {
-            self.plain(number, if headed { wire::end } else { wire::stop });
+            self.plain(number, if headed { wire::end } else { wire::stop }, means);
         }
         self.leave(number, left);
     }
 
-    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>) {
+    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>, means: &Means) {
         let Some(Entry { connection: Some(key), id, .. }) = self.outs.get(&number) else { return };
         let (key, bytes) = (*key, line(id));
-        self.write(key, &bytes);
+        self.write(key, &bytes, means);
     }
 
     /// It ends with its connection, or without ever having had one.
@@ -631,7 +645,7 @@
         }
     }
 
-    fn lost(&mut self, connection: u64, why: &str) {
+    fn lost(&mut self, connection: u64, why: &str, means: &Means) {
         let Some(connection) = self.connections.remove(&connection) else { return };
         let _ = connection.stream.shutdown(Shutdown::Both);
         counts::LOST_CONNECTIONS.add();
@@ -649,7 +663,7 @@
         numbers.sort_unstable();
         numbers.into_iter().for_each(|number| self.lose(number));
         // A process that has died takes no new connection: that tells its end from a connection's.
-        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once() {
+        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once(means) {
             for words in std::mem::take(&mut self.doubtful) {
                 let _ = words.try_send(Heard::Lost(Verdict::Broken, false));
             }
@@ -670,19 +684,18 @@
         tracing::info!("{}", line(&self.name, &rest));
     }
 
-    fn time_out(&mut self) {
-        let now = Instant::now();
+    pub fn time_out(&mut self, now: Instant, means: &Means) {
         let late = self.outs.iter().filter(|(_, entry)| entry.times_out() && entry.due <= now);
         for number in late.map(|(number, _)| *number).collect::<Vec<u64>>() {
             let Some(entry) = self.outs.get_mut(&number) else { continue };
             if entry.connection.is_none() && !std::mem::replace(&mut entry.shares, true) {
                 // A connection of its own takes long: one that is there will do.
-                entry.due = now + self.terms.dial;
+                entry.due = now + means.terms.dial;
                 if let Some(key) =
-                    self.outs.get(&number).and_then(|entry| self.connection_for(&entry.id, true))
+                    self.outs.get(&number).and_then(|entry| self.connection_for(&entry.id, true, means))
                 {
                     self.waiting.retain(|waits| *waits != number);
-                    self.assign(number, key);
+                    self.assign(number, key, means);
                 }
                 continue;
             }
@@ -696,8 +709,8 @@
         }
     }
 
-    fn drop_idle(&mut self) {
-        let (fresh_for, idle) = (self.fresh_for, self.terms.idle);
+    fn drop_idle(&mut self, means: &Means) {
+        let (fresh_for, idle) = (self.fresh_for.min(means.terms.idle), means.terms.idle);
         if self.stale_at.elapsed() > STALE {
             (self.fresh_for, self.stale_at) = ((fresh_for * 2).min(idle), Instant::now());
         }
@@ -712,14 +725,14 @@
 
     /// A connection on which notes are due and nothing comes, while its engine speaks on others, is of no use.
     /// Where all are silent it is the engine, which is the module's matter.
-    fn drop_silent(&mut self) {
-        let Some(notes) = self.terms.notes else { return };
+    fn drop_silent(&mut self, means: &Means) {
+        let Some(notes) = means.terms.notes else { return };
         let speaks = self.connections.values().any(|connection| connection.heard.elapsed() < notes);
         let silent = self.connections.iter().filter(|(_, connection)| {
             speaks && !connection.ids.is_empty() && connection.quiet_for() > notes.mul_f64(2.5)
         });
         for key in silent.map(|(key, _)| *key).collect::<Vec<u64>>() {
-            self.lost(key, "it fell silent while the engine speaks on others");
+            self.lost(key, "it fell silent while the engine speaks on others", means);
         }
     }
 }
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -5,4 +5,5 @@
 pub mod clients;
 pub mod counts;
 pub mod engines;
+pub mod owners;
 pub mod readers;
--- /dev/null
+++ b/crates/server/src/memory/owners.rs
@@ -0,0 +1,152 @@
+//! The one thread of all engines' owners. A thread an engine costs little in one program, but a fleet of
+//! hundreds of gateways and engines on one machine runs out of thread numbers.
+
+use super::budget::Budget;
+use super::engines::{Heard, Means, News, Order, Owner, Terms};
+use super::readers::Readers;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use pebblevane::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+// A channel takes memory for all that it may hold once it has gone round, so that it is no larger than bursts.
+const ORDERS: usize = 2048; // orders that wait for the owners
+const SWEEP: Duration = Duration::from_millis(250); // pace of looking for idle and silent connections
+
+/// The way to the owners' thread.
+pub struct Owners {
+    orders: Sender<(u64, Order)>,
+    /// What the list has told and owners have not taken up: one entry an engine, never lost, and never waited
+    /// for. Whoever tells may be one for whom an owner waits.
+    news: Mutex<BTreeMap<u64, News>>,
+    fresh: AtomicBool,
+    keys: AtomicU64,
+}
+
+impl Owners {
+    pub fn start(terms: Terms, sockets: Arc<Budget>, now: fn() -> Moment) -> std::io::Result<Arc<Owners>> {
+        let (orders, inbox) = bounded(ORDERS);
+        let owners = Arc::new(Owners {
+            orders: orders.clone(),
+            news: Mutex::default(),
+            fresh: AtomicBool::new(false),
+            keys: AtomicU64::new(0),
+        });
+        let means = Means { terms, sockets, readers: Readers::start()?, now, orders };
+        let all = All { owners: BTreeMap::new(), dues: BTreeSet::new(), due: BTreeMap::new(), means };
+        let told = owners.clone();
+        crate::thread("engines", crate::STACK, move || all.run(&told, &inbox))?;
+        Ok(owners)
+    }
+
+    pub fn next_key(&self) -> u64 {
+        self.keys.fetch_add(1, SeqCst)
+    }
+
+    /// Hands an order over; waits while too many do.
+    pub fn order(&self, engine: u64, order: Order) {
+        // The owners' thread ends only with the program.
+        let _ = self.orders.send((engine, order));
+    }
+
+    /// Hands an order over, or back where too many wait.
+    pub fn try_order(&self, engine: u64, order: Order) -> Result<(), Order> {
+        self.orders.try_send((engine, order)).map_err(|refused| refused.into_inner().1)
+    }
+
+    /// Tells an owner what the list says. It has that before any order that is handed over later.
+    pub fn tell(&self, engine: u64, what: impl FnOnce(&mut News)) {
+        what(self.news().entry(engine).or_default());
+        self.fresh.store(true, SeqCst);
+        // Where too many orders wait, the thread is awake and looks before the next of them.
+        match self.orders.try_send((u64::MAX, Order::Look)) {
+            Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {}
+        }
+    }
+
+    fn news(&self) -> MutexGuard<'_, BTreeMap<u64, News>> {
+        // A panic ends the program, so that nobody sees what a panic left behind.
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// All owners, and when something is due at each.
+struct All {
+    owners: BTreeMap<u64, Owner>,
+    dues: BTreeSet<(Instant, u64)>,
+    due: BTreeMap<u64, Instant>,
+    means: Means,
+}
+
+impl All {
+    fn run(mut self, told: &Owners, inbox: &Receiver<(u64, Order)>) {
+        let mut sweep = Instant::now();
+        loop {
+            // Without connections there is nothing to look at, and a program that has nothing to do sleeps.
+            let connected = self.owners.values().any(Owner::connected);
+            let due = [self.dues.first().map(|(due, _)| *due), connected.then_some(sweep)];
+            let order = match due.into_iter().flatten().min() {
+                Some(due) => inbox.recv_deadline(due),
+                None => inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            if told.fresh.swap(false, SeqCst) {
+                for (key, news) in std::mem::take(&mut *told.news()) {
+                    self.hear(key, news);
+                }
+            }
+            match order {
+                Ok((_, Order::Look)) | Err(RecvTimeoutError::Timeout) => {}
+                Ok((key, order)) => self.carry_out(key, order),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = Instant::now();
+            while let Some((_, key)) = self.dues.first().copied().filter(|(due, _)| *due <= now) {
+                self.with(key, |owner, means| owner.time_out(now, means));
+            }
+            if now >= sweep {
+                sweep = now + SWEEP;
+                let connected = self.owners.iter().filter(|(_, owner)| owner.connected());
+                for key in connected.map(|(key, _)| *key).collect::<Vec<u64>>() {
+                    self.with(key, |owner, means| owner.sweep(means));
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, key: u64, mut news: News) {
+        if let Some(owner) = news.new.take() {
+            self.owners.insert(key, *owner);
+        }
+        self.with(key, |owner, means| owner.hears(news, means));
+    }
+
+    fn carry_out(&mut self, key: u64, order: Order) {
+        if self.owners.contains_key(&key) {
+            return self.with(key, |owner, means| owner.carry_out(order, means));
+        }
+        // The engine has gone: what is ordered now never leaves.
+        match order {
+            Order::Send { words, .. } => drop(words.try_send(Heard::Lost(Verdict::Unreachable, false))),
+            Order::Probe { told, .. } => told(Verdict::Unreachable, Report::new()),
+            _ => {}
+        }
+    }
+
+    /// Lets an owner do something, then notes when it is due next, or lets it go when it is over.
+    fn with(&mut self, key: u64, what: impl FnOnce(&mut Owner, &Means)) {
+        let Some(owner) = self.owners.get_mut(&key) else { return };
+        what(owner, &self.means);
+        let (due, over) = (owner.due(), owner.over());
+        if let Some(old) = self.due.remove(&key) {
+            self.dues.remove(&(old, key));
+        }
+        if over {
+            self.owners.remove(&key).into_iter().for_each(Owner::close);
+        } else if let Some(due) = due {
+            self.due.insert(key, due);
+            self.dues.insert((due, key));
+        }
+    }
+}
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -846,6 +846,42 @@
     assert_eq!(client.next(), format!("{message}: done "));
 }
 
+/// Hundreds of engines in one list, all replaced by one event, with the least limits: no thread an engine, for a
+/// fleet of programs on one machine runs out of them, and jobs are served before and after.
+#[test]
+fn a_thousand_engines_need_no_more_threads_than_one() {
+    let (mut engines, mut bus) = (Engines::start(0), Bus::start());
+    engines.add("0.0.0.0:0");
+    let port = engines.addresses[0].rsplit(':').next().unwrap().to_string();
+    let entries = |name: &str, state: &str| -> Vec<Json> {
+        let entry = |i: u32| {
+            let address = format!("127.{}.{}.{}:{port}", name.len(), i / 200, i % 200 + 1);
+            entry(&format!("{name}{i}"), &address, state)
+        };
+        (0..1024).map(entry).collect()
+    };
+    let mut config = config(&engines, &bus.address);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 24, "sockets": 100});
+    config["known"]["batch"] = json!([event(1, true, entries("e", "in_service"))]);
+    let program = Program::with(config);
+    let mut client = program.client();
+    let threads = || std::fs::read_dir(format!("/proc/{}/task", program.child.id())).unwrap().count();
+    let few = |count: usize| if count <= 16 { "few".to_string() } else { count.to_string() };
+    let mut told = vec![few(threads())];
+    for (message, name) in [(1, "e"), (2, "new")] {
+        if name == "new" {
+            bus.event(2, false, entries("new", "in_service"));
+            bus.event(3, false, entries("e", "terminated"));
+            bus.cut();
+            assert_eq!(bus.asked(), "from 3");
+        }
+        client.ask(message, "lookup", 9000);
+        engines.answer(message);
+        told.extend([client.next(), few(threads())]);
+    }
+    expect!["few|1: done |few|2: done |few"].assert_eq(&told.join("|"));
+}
+
 /// Engines come and go under ever new ids, and clients under ever new connections: what was kept for them is let
 /// go, and no more threads, descriptors or memory are held at the end than after a while.
 #[test]
