Gateways decide on own figures where probes are too dear to be had for each job

Ruled out: engines (util 0.5 in the middle, 0.9 at nine tenths), connections (208 lost of 40,000 jobs), the gateway's own limits (at_limit=0).

Now: where the price pays for less than a pair's probes for each job, an old report is no reason to hold a job; own figures and the own pace there decide. What probes there are go to jobs that bill at least the usual. Readers begin anywhere among their group's homes, so that a hot group does not rest on two engines when nobody knows their load. Where probes can be had for each job nothing changes.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -250,32 +250,21 @@
     }
 
     fn probe(&mut self, id: EngineId) {
-        let (desk, sent) = (self.desk.clone(), clock::now());
-        let told = move |verdict: Verdict, report: Report| {
-            let outcome = Outcome {
-                verdict,
-                took: clock::now() - sent,
-                over: false,
-                lively: false,
-                bill: None,
-                report,
-            };
-            desk.call(Call::Probed { engine: id, outcome });
+        let outcome = |verdict: Verdict, report: Report, took: Span| Outcome {
+            verdict,
+            took,
+            over: false,
+            lively: false,
+            bill: None,
+            report,
         };
-        let refused = match self.engines.get(&id) {
-            Some(known) => known.engine.probe(Box::new(told)).is_err(),
-            None => true,
+        let desk = self.desk.clone();
+        let told = move |verdict: Verdict, report: Report, took: Span| {
+            desk.call(Call::Probed { engine: id, outcome: outcome(verdict, report, took) });
         };
-        if refused {
-            let took = Span::default();
-            let outcome = Outcome {
-                verdict: Verdict::TimedOut,
-                took,
-                over: false,
-                lively: false,
-                bill: None,
-                report: Report::new(),
-            };
+        let taken = self.engines.get(&id).is_some_and(|known| known.engine.probe(Box::new(told)));
+        if !taken {
+            let outcome = outcome(Verdict::TimedOut, Report::new(), Span::default());
             let decided = self.logic.probed(clock::now(), id, outcome);
             self.carry_out(decided);
         }
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -77,7 +77,8 @@
     pub statement: Arc<[u8]>,
 }
 
-pub type Probed = Box<dyn FnOnce(Verdict, Report) + Send>;
+/// Takes how a probe came out, and its time from the first byte written to the last one read.
+pub type Probed = Box<dyn FnOnce(Verdict, Report, Span) + Send>;
 
 /// What an engine's owner is to do.
 pub enum Order {
@@ -159,13 +160,10 @@
         Out { number, engine: self.clone(), gate, words: heard }
     }
 
-    /// Sends a probe; `told` is handed its result, or given back if the engine's owner can't take it.
-    pub fn probe(&self, told: Probed) -> Result<(), Probed> {
+    /// Sends a probe; `told` is handed its result. Says whether the engine's owner could take it.
+    pub fn probe(&self, told: Probed) -> bool {
         let number = self.numbers.fetch_add(1, SeqCst);
-        self.owners.try_order(self.key, Order::Probe { number, told }).map_err(|refused| match refused {
-            Order::Probe { told, .. } => told,
-            _ => Box::new(|_, _| {}),
-        })
+        self.owners.try_order(self.key, Order::Probe { number, told })
     }
 
     pub fn restarted(&self, at: Moment) {
@@ -248,6 +246,8 @@
     shares: bool,
     /// Connections that have ended before a byte of it had left.
     failed: u32,
+    /// When it was last written to a connection.
+    sent: Instant,
     due: Instant,
 }
 
@@ -348,7 +348,9 @@
                 drop(done);
             }
             Order::Dialed(dialed) => self.dialed(dialed, means),
-            Order::Told { connection, told: Told::Word(id, word) } => self.heard(connection, &id, word),
+            Order::Told { connection, told: Told::Word(id, word, at) } => {
+                self.heard(connection, &id, word, at)
+            }
             Order::Look => {}
             Order::Told { connection, told: Told::Ended(why) } => self.lost(connection, &why, means),
         }
@@ -360,7 +362,16 @@
         let due = Instant::now() + means.terms.dial / 8;
         self.outs.insert(
             number,
-            Entry { what, id, connection: None, headed: false, shares: false, failed: 0, due },
+            Entry {
+                what,
+                id,
+                connection: None,
+                headed: false,
+                shares: false,
+                failed: 0,
+                sent: Instant::now(),
+                due,
+            },
         );
         self.waiting.push_back(number);
         self.assign_waiting(means);
@@ -421,7 +432,8 @@
             (connection.since, connection.used) = (Instant::now(), true);
         }
         connection.ids.insert(entry.id.clone(), number);
-        (entry.connection, entry.due) = (Some(key), Instant::now() + means.terms.dial);
+        entry.sent = Instant::now();
+        (entry.connection, entry.due) = (Some(key), entry.sent + means.terms.dial);
         let written = loop {
             match (&*connection.stream).write(&bytes) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -537,7 +549,7 @@
         Ok(())
     }
 
-    fn heard(&mut self, connection: u64, id: &str, word: Word) {
+    fn heard(&mut self, connection: u64, id: &str, word: Word, at: Instant) {
         let Some(connection) = self.connections.get_mut(&connection) else { return };
         connection.heard = Instant::now();
         let Some(number) = connection.ids.get(id).copied() else {
@@ -554,7 +566,7 @@
                     _ => return,
                 };
                 if let Some(told) = told.take() {
-                    told(verdict, report);
+                    told(verdict, report, Span(at.saturating_duration_since(entry.sent).as_micros() as i64));
                 }
                 self.leave(number, false);
             }
@@ -640,7 +652,7 @@
             }
             What::Probe(told) => {
                 let verdict = if entry.connection.is_some() { Verdict::Broken } else { Verdict::Unreachable };
-                told.into_iter().for_each(|told| told(verdict, Report::new()));
+                told.into_iter().for_each(|told| told(verdict, Report::new(), Span::default()));
             }
         }
     }
@@ -701,7 +713,9 @@
             }
             match &mut entry.what {
                 What::Probe(told) if entry.connection.is_some() => {
-                    told.take().into_iter().for_each(|told| told(Verdict::TimedOut, Report::new()));
+                    told.take()
+                        .into_iter()
+                        .for_each(|told| told(Verdict::TimedOut, Report::new(), Span::default()));
                     self.leave(number, true);
                 }
                 _ => self.lose(number),
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -51,9 +51,9 @@
         let _ = self.orders.send((engine, order));
     }
 
-    /// Hands an order over, or back where too many wait.
-    pub fn try_order(&self, engine: u64, order: Order) -> Result<(), Order> {
-        self.orders.try_send((engine, order)).map_err(|refused| refused.into_inner().1)
+    /// Hands an order over; says whether it could, which is not so where too many wait.
+    pub fn try_order(&self, engine: u64, order: Order) -> bool {
+        self.orders.try_send((engine, order)).is_ok()
     }
 
     /// Tells an owner what the list says. It has that before any order that is handed over later.
@@ -129,7 +129,7 @@
         // The engine has gone: what is ordered now never leaves.
         match order {
             Order::Send { words, .. } => drop(words.try_send(Heard::Lost(Verdict::Unreachable, false))),
-            Order::Probe { told, .. } => told(Verdict::Unreachable, Report::new()),
+            Order::Probe { told, .. } => told(Verdict::Unreachable, Report::new(), Span::default()),
             _ => {}
         }
     }
--- a/crates/server/src/memory/readers.rs
+++ b/crates/server/src/memory/readers.rs
@@ -21,7 +21,8 @@
 
 /// What a connection's owner is told.
 pub enum Told {
-    Word(String, Word),
+    /// A word, under its id, and when it was read.
+    Word(String, Word, Instant),
     Ended(String),
 }
 
@@ -51,10 +52,11 @@
                 Err(e) => return Err(e.to_string()),
             }
             self.since = Instant::now();
+            let since = self.since;
             let mut done = 0;
             while let Some((length, id, word)) = wire::next(&self.bytes[done..])? {
                 done += length;
-                (self.tell)(Told::Word(id, word));
+                (self.tell)(Told::Word(id, word, since));
             }
             self.bytes.drain(..done);
             if self.bytes.is_empty() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,7 @@
 const GRANT_DOWN: f64 = 0.99;
 const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
+const ASKS_KEPT: f64 = 12.0; // probes saved up; jobs that bill little leave half of them to others
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
 const FORGET: Span = Span(60_000_000); // what was not met for so long is forgotten
@@ -184,9 +185,7 @@
             self.traffic.add(now, CALM_OVER, &held, kind);
             self.arrivals.add(now, RECENT, cost, 1.0);
         }
-        let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
-        let asks = if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB };
-        self.asks = (self.asks + asks).min(12.0);
+        self.asks = (self.asks + self.asks_a_job()).min(ASKS_KEPT);
         if let Some(key) = held.job.key.filter(|_| self.types[held.job.reservation].ordered) {
             self.turns.entry(key).or_default().push_back(id);
         }
@@ -350,7 +349,8 @@
     /// as its last report told them, with what this one sent since.
     fn fill(&self, engine: &Engine, threads: f64, memory: f64) -> f64 {
         let own = load(engine, threads, memory);
-        if !engine.whole {
+        // What was told long ago says nothing: a gateway that can't know decides on its own figures.
+        if !engine.whole || self.now - engine.reported > REPORT_FRESH {
             return own;
         }
         let usual = self.traffic.threads.mean_or(1.0);
@@ -574,6 +574,12 @@
         }
     }
 
+    /// Probes that the ordinary job may cause: where gateways are many, by what the settings say they cost.
+    fn asks_a_job(&self) -> f64 {
+        let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
+        if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB }
+    }
+
     /// Whether bounds are whole engines' here, for all gateways together.
     fn many(&self) -> bool {
         self.running.first().is_some_and(|e| self.engines[e].whole)
@@ -613,13 +619,20 @@
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         // Types that bill more for their work than the usual job may pass the bound.
         let billed = kind.billed / (usual_work(kind).max(1.0) / 1000.0);
+        // Where not every job's pair can be probed, jobs that bill more than others come first, and no job waits
+        // for reports that it can't have.
+        let dear = !many || self.asks > 0.5 * ASKS_KEPT || kind.billed >= self.traffic.dear.mean_or(0.0);
+        let blind = self.asks_a_job() < 2.0;
         let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             let most = engine.bound * self.warmth(engine, now);
             if engine.whole {
-                return now - engine.reported <= ASK_AFTER.times(2.0) && load <= most * dense;
+                let known = blind || now - engine.reported <= ASK_AFTER.times(2.0);
+                return known
+                    && load <= most * dense
+                    && engine.pace_at(now, PACE_OVER, PACE_PRIOR) < PACE_BAD;
             }
             load <= most || (engine.outs == 0 && room())
         };
@@ -639,7 +652,8 @@
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
-        let first = if kind.holds { (far * draw) as usize } else { 0 };
+        // Readers begin anywhere among their group's homes, which share its traffic whether or not loads are known.
+        let first = (if kind.holds { far } else { hot } * draw) as usize;
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
@@ -658,7 +672,7 @@
                 break;
             }
             open[tier].push(e);
-            let may_ask = now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64;
+            let may_ask = dear && now - engine.probed > ASK_AFTER && self.asks >= 1.0 + ask.len() as f64;
             if asks && now - engine.reported > ASK_AFTER && (engine.probe_out || may_ask) {
                 ask.push(e);
                 if ask.len() + below[0].len() >= 2 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     pub threads: Fading,
     pub memory: Fading,
     pub billed: Fading,
+    /// Billed value of a job, whatever its work.
+    pub dear: Fading,
     pub groups: BTreeMap<u64, Fading>,
     jobs: Fading,
 }
@@ -76,6 +78,7 @@
         self.threads.add(now, life, kind.threads, held.bare);
         self.memory.add(now, life, held.memory * kind.grant, held.bare);
         self.billed.add(now, life, kind.billed / (held.cost.max(1.0) / 1000.0), held.cost);
+        self.dear.add(now, life, kind.billed, 1.0);
         self.groups.entry(held.job.group).or_default().add(now, life, 0.0, 1.0);
         self.jobs.add(now, life, 0.0, 1.0);
     }
@@ -263,6 +266,11 @@
     pub fn held(&self, group: u64, now: Moment) -> bool {
         self.loads.contains(&group) || self.holds.get(&group).is_some_and(|until| *until > now)
     }
+    /// Its pace, drawn towards calm as if that had been seen with `weight`.
+    pub fn pace_at(&self, now: Moment, life: Span, weight: f64) -> f64 {
+        let mut pace = self.pace;
+        pace.mean_now(now, life, 1.0, weight)
+    }
     /// Counts a job that goes out to it, and one that comes back.
     pub fn leaves(&mut self, id: JobId, job: &Job, kind: &Reservation, memory: f64) {
         self.threads += kind.threads;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -643,6 +643,34 @@
     );
 }
 
+/// Where the price of probes doesn't pay for a pair's reports with each job, a gateway that can't know decides on
+/// its own figures at once; a hot group's jobs use all of its homes, whose load nobody may know.
+#[test]
+fn where_probes_are_dear_no_job_waits_for_reports_that_it_cannot_have() {
+    let mut lines = String::new();
+    for price in [0.1, 1.0] {
+        let mut desk = Desk::new(&[MANY[0], MANY[1], ("Deductions.Probe", price)], 12);
+        desk.told = vec![0.2; 12];
+        desk.field = "load_share";
+        desk.pass(1000.0);
+        let mut at_once = 0;
+        for job in 0..60 {
+            let before = desk.sent.len();
+            desk.take(LOOKUP, if job % 2 == 0 { 11 } else { job }, None);
+            at_once += desk.sent.len() - before;
+            desk.pass(100.0);
+        }
+        let used = (0..12).filter(|e| desk.sent.iter().any(|(_, to)| to == e)).count();
+        let (sent, probes) = (desk.sent.len(), desk.trace.matches("probe ").count());
+        lines += &format!("price {price}: {at_once} at once of {sent}, on {used} engines, {probes} probes\n");
+    }
+    expect![[r#"
+        price 0.1: 45 at once of 60, on 12 engines, 15 probes
+        price 1: 59 at once of 60, on 12 engines, 1 probes
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn a_probe_that_takes_long_shows_an_engine_past_full() {
     let mut sent = Vec::new();
