Own work of late stands in for unknown loads; overdue jobs tell of pace; small jobs get turns at cold engines

A trace of all 300 gateways, dispatches by engine over two seconds (4 to 6 s): engine 52 168, 53 149, 33 136 ... 64 3, 59 2, with 48 on the mean; of engine 4's 115 one came back, with util 0.1 there and probes of 20 ms: past its memory. After the release: engines 92, 94 and 98, new, 1 job in two seconds each, the old ones 225 to 470, "Full" 19,000 times in five seconds. Ruled out: the network (0 connections lost), shares by gateway (in step with their traffic).

Three causes, all in src/logic.rs: 1. `under` took any engine whose load was unknown, so pairs of busy table groups jammed; own threads out, which `balance` used for it, are 0 against 0 where a gateway has a tenth of a job at an engine. Now work sent, fading over 15 s, stands in both: an engine is passed over when it has had 1.5 times its part of it. As all gateways walk alike, that is about its part of what all sent. Pace was learnt from jobs that came back and from notes; from a jam none come. A job out for twice its bare work now counts with its age at each beat. 3. Turns at a cold engine were cut for the heaviest type: one gateway of 300 at a time, which mostly had no job for it. Now two turns of three are cut for pairs of small jobs; the bound is as before (holders times their part is the whole of the turn; an empty slot between any two turns).

Tests: a fleet with few jobs at one cold engine, 20 s: 9 small and 52 heavy jobs reached it before, 34 and 50 now; the rest of the traces changed with turns only (30 and 300 gateways: 92 and 70 of a hundred-millisecond type that asks in every slot, at most 0.59 of the budget as before).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,6 +47,7 @@
 const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
 const FORGET: Span = Span(60_000_000); // what was not met for so long is forgotten
+const COLD_JOBS: f64 = 2.0; // small jobs, as the settings tell them, that a turn at a cold engine is to hold
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
 
 #[derive(Default)]
@@ -90,6 +91,8 @@
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
     pace: Fading,
+    /// Work sent of late.
+    work: Fading,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
@@ -452,7 +455,7 @@
     /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal
     /// share. Where that is less than a job, gateways take turns, as time since the start, engine and own
     /// number say: in every other slot of one window's length, so that no window meets two, as many gateways
-    /// as heavy jobs fit share it all. One that has just started may have forgotten what it sent, and waits.
+    /// as heavy jobs fit, or small ones in pairs, share it all. One that has just started may have forgotten what it sent, and waits.
     fn cold_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
@@ -464,8 +467,12 @@
         }
         let slot = (self.now - ready).0.max(0) / window.0.max(1);
         let whole = whole(ready + window.times(slot as f64));
-        let heaviest = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0).fold(1.0, f64::max);
-        let holders = (whole / heaviest).floor().clamp(1.0, self.gateways);
+        // Two turns of three are for small jobs: many gateways have some, whereas few have a large one in time.
+        let guessed = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0);
+        let (heaviest, lightest) =
+            (guessed.clone().fold(1.0, f64::max), guessed.fold(f64::INFINITY, f64::min));
+        let unit = if slot / 2 % 3 == 0 { heaviest } else { COLD_JOBS * lightest.max(1.0) };
+        let holders = (whole / unit).floor().clamp(1.0, self.gateways);
         let turn = (mix(engine.hash ^ slot as u64) % self.gateways as u64) as f64 + self.contract("Ordinal");
         let mine = slot % 2 == 0 && turn % self.gateways < holders && self.started + window <= self.now;
         if mine { whole / holders - sent } else { 0.0 }
@@ -488,6 +495,8 @@
         let memory = if granted > 0.0 { granted } else { held.memory }.min(engine.most_mb);
         engine.leaves(id, &held.job, kind, memory);
         engine.sent.add(self.now, cold, usual_work(kind));
+        engine.work.add(self.now, CALM_OVER, held.cost, 1.0);
+        self.work.add(self.now, CALM_OVER, held.cost, 1.0);
         let limit = held.ends - self.now;
         held.out = Some(Out::new(to, held.copies, self.now, choice, memory, next));
         held.copies += 1;
@@ -622,17 +631,19 @@
         // Where not every job's pair can be probed, jobs that bill more than others come first, and no job waits
         // for reports that it can't have.
         let dear = !many || self.asks > 0.5 * ASKS_KEPT || kind.billed >= self.traffic.dear.mean_or(0.0);
-        let blind = self.asks_a_job() < 2.0;
+        let blind = many && self.asks_a_job() < 2.0;
+        let mean = self.work.read(self.now, CALM_OVER) / order.len() as f64;
         let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             let most = engine.bound * self.warmth(engine, now);
             if engine.whole {
-                let known = blind || now - engine.reported <= ASK_AFTER.times(2.0);
-                return known
-                    && load <= most * dense
-                    && engine.pace_at(now, PACE_OVER, PACE_PRIOR) < PACE_BAD;
+                let fits = load <= most * dense && engine.pace_at(now, PACE_OVER, PACE_PRIOR) < PACE_BAD;
+                let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
+                // Its part of what this gateway sent of late: as all walk alike, of what all sent.
+                let part = || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now);
+                return fits && (fresh || blind && part());
             }
             load <= most || (engine.outs == 0 && room())
         };
@@ -642,7 +653,8 @@
         // engine further with each beat, and hot groups have as many engines as their traffic asks for.
         let hot = HOME * order.len() as f64 * self.traffic.share_of(group, 20.0);
         let waited = (now - held.taken).ms() / ((held.sla_ends - held.taken).ms() - held.bare).max(1.0);
-        let depth = if many { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
+        let depth =
+            if many && !blind { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
         // Where crossing locations costs, near engines come first while the pool is well.
         let costs = !self.tight && self.settings.number("Deductions.CrossZone").unwrap_or(0.0) > 0.0;
         let zone = self.settings.number("Zone").unwrap_or(0.0);
@@ -652,8 +664,7 @@
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
-        // Readers begin anywhere among their group's homes, which share its traffic whether or not loads are known.
-        let first = (if kind.holds { far } else { hot } * draw) as usize;
+        let first = if kind.holds { (far * draw) as usize } else { 0 };
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
@@ -736,6 +747,10 @@
 
     /// r = tanh(d), d the Mahalanobis length of the first engine's deviation from its target share.
     fn balance(&mut self, pair: [usize; 2]) -> f64 {
+        let now = self.now;
+        for e in pair {
+            self.engines.entry(e).and_modify(|engine| engine.work.touch(now, CALM_OVER));
+        }
         let share = |[a, b]: [f64; 2]| if a + b > 1e-9 { a / (a + b) } else { 0.5 };
         let engines = pair.map(|e| &self.engines[&e]);
         let fresh = |e: &Engine| self.now - e.reported < REPORT_FRESH;
@@ -745,7 +760,12 @@
             [Some(a), Some(b)] => share([a, b]),
             _ => share(engines.map(own)),
         };
-        let processor = of(|e| e.processor, |e| e.threads / e.cores);
+        // Where own jobs are few, those out now tell less than those sent of late.
+        let processor = if self.many() {
+            of(|e| e.processor, |e| e.work.sum / e.cores)
+        } else {
+            of(|e| e.processor, |e| e.threads / e.cores)
+        };
         let memory = of(|e| e.memory, |e| e.memory_out / e.memory_mb.max(1.0));
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
         self.deviations.push(e, DEVIATIONS);
@@ -952,6 +972,15 @@
 
     /// An engine from which nothing is heard though notes are due is left alone.
     fn watch_outs(&mut self) {
+        // A job that is out for long tells of its engine's pace before it is back: from a jam none comes back.
+        let overdue = |(id, held): (&JobId, &Held)| {
+            let out = held.out.as_ref().filter(|out| !out.waited && out.share == 0.0 && !held.over)?;
+            let took = (self.now - out.sent).ms();
+            (took > PACE_BAD * held.bare).then_some((*id, out.engine, took))
+        };
+        for (id, engine, took) in self.jobs.iter().filter_map(overdue).collect::<Vec<_>>() {
+            self.see_pace(id, engine, took, 0.25);
+        }
         let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
         let due = every.map_or(Span(i64::MAX), |every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
         let heard = |e: usize| self.engines.get(&e).map_or(self.now, |engine| engine.heard);
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,12 @@
         self.sum += x * weight;
         self.weight += weight;
     }
+    /// The sum as it has faded by now.
+    pub fn read(&self, now: Moment, life: Span) -> f64 {
+        let mut faded = *self;
+        faded.touch(now, life);
+        faded.sum
+    }
     /// The mean, drawn towards `prior` as if that had been seen with `weight`.
     pub fn mean_with(&self, prior: f64, weight: f64) -> f64 {
         (self.sum + prior * weight) / (self.weight + weight)
@@ -255,8 +261,9 @@
     pub heard: Moment,
     pub probe_out: bool,
     pub probed: Moment,
-    /// Usual work sent of late, for the cold budget.
+    /// Usual work sent of late, for the cold budget; and work sent, fading slowly.
     pub sent: Recent,
+    pub work: Fading,
     /// Table groups known to be held by a load, and until when that is believed.
     pub holds: BTreeMap<u64, Moment>,
 }
@@ -293,7 +300,7 @@
     pub fn read(settings: &Settings, listing: Listing, before: Engine, types: usize) -> Engine {
         let known = |name: &str| settings.number(&format!("Extra.{name}.{}", listing.machine));
         let memory_mb = known("RamOfKindMb");
-        let Engine { threads, memory_out, outs, sent, loads, .. } = before;
+        let Engine { threads, memory_out, outs, sent, work, loads, .. } = before;
         Engine {
             hash: listing.name.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
                 (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
@@ -306,6 +313,7 @@
             memory_out,
             outs,
             sent,
+            work,
             loads,
             listing,
             ..Engine::default()
