A gateway that can't know loads sends less into a jam; late jobs there are given up

Ruled out: the network, the gateways' own core, cold engines' turns (they end at 18 s).

Cause: nothing bounds what all gateways together have out where nobody knows loads. An engine's bound rests on what this gateway saw there, a tenth of a job a second, and the line at the gateway (`tight`) opens for engines that look free. Now (src/logic.rs) the adaptive bound has its like for all that a gateway has out, acting only where probes can't be had for each job: 7% less a beat while the pool's pace is over 2, down to one thread a core of an equal part, 5% more while it is under 1.5 and used. Second: a restartable job past its SLA time on an engine at bad pace is given up (final answer at once, recalled) if it earns less for what is left of it than a usual job.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -93,6 +93,8 @@
     pace: Fading,
     /// Work sent of late.
     work: Fading,
+    /// Own threads out in all, up to which jobs go out.
+    part: f64,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
@@ -124,6 +126,7 @@
             gamma_at: now,
             started: now,
             stops: Moment(i64::MAX),
+            part: f64::INFINITY,
             settings,
             ..Logic::default()
         };
@@ -244,7 +247,7 @@
                 }
             }
             if known {
-                self.see_pace(id, to, took, 0.25);
+                self.see_pace(id, to, took, 0.25, true);
             }
             self.reconsider(id);
         }
@@ -583,6 +586,10 @@
         }
     }
 
+    fn threads_out(&self) -> f64 {
+        self.engines.values().map(|engine| engine.threads).sum()
+    }
+
     /// Probes that the ordinary job may cause: where gateways are many, by what the settings say they cost.
     fn asks_a_job(&self) -> f64 {
         let price = self.settings.number("Deductions.Probe").unwrap_or(0.0);
@@ -619,6 +626,11 @@
         }
         let order = self.order(self.jobs[&id].job.group);
         let many = self.many();
+        let blind = many && self.asks_a_job() < 2.0;
+        if blind && self.threads_out() >= self.part {
+            self.no_room = true;
+            return None;
+        }
         let draw = if many { self.chance.next() } else { 0.0 };
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
@@ -631,7 +643,6 @@
         // Where not every job's pair can be probed, jobs that bill more than others come first, and no job waits
         // for reports that it can't have.
         let dear = !many || self.asks > 0.5 * ASKS_KEPT || kind.billed >= self.traffic.dear.mean_or(0.0);
-        let blind = many && self.asks_a_job() < 2.0;
         let mean = self.work.read(self.now, CALM_OVER) / order.len() as f64;
         let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
@@ -831,7 +842,7 @@
                     self.residual.learn(x, delta - s);
                 }
                 if !out.waited {
-                    self.see_pace(id, out.engine, took, 1.0);
+                    self.see_pace(id, out.engine, took, 1.0, true);
                 }
             }
             Verdict::Unreachable | Verdict::Broken if !outcome.lively => {
@@ -853,7 +864,7 @@
 
     /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told
     /// costs are wrong by type, as the lowest pace of late shows. Answers that bill the work make it exact.
-    fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64) {
+    fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64, of_pool: bool) {
         let held = &self.jobs[&id];
         let kind = &mut self.types[held.job.reservation];
         let bare = held.bare.max(1.0);
@@ -862,7 +873,9 @@
         }
         let Some(calm) = kind.calm else { return };
         let pace = (took / bare / calm).min(PACE_CLIP);
-        self.pace.add(self.now, PACE_OVER, pace, bare * weight);
+        if of_pool {
+            self.pace.add(self.now, PACE_OVER, pace, bare * weight);
+        }
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.pace.add(self.now, PACE_OVER, pace, bare * weight);
         }
@@ -909,6 +922,19 @@
         }
     }
 
+    /// A late job on an engine past its knee, which now earns less for the work that is left than a usual one
+    /// would: it goes, for what stays late in a jam keeps the jam. Only where a recall ends it there.
+    fn is_hopeless(&self, held: &Held) -> bool {
+        let kind = &self.types[held.job.reservation];
+        let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else { return false };
+        let late = kind.effect == Effect::Restartable && self.now > held.sla_ends;
+        let Some(engine) = self.engines.get(&out.engine).filter(|_| late) else { return false };
+        let left = held.cost * (1.0 - out.share).max(0.05) / 1000.0;
+        self.settings.flag("Ceilings.Cancelling")
+            && engine.pace_at(self.now, PACE_OVER, PACE_PRIOR) > PACE_BAD
+            && kind.late * kind.billed / left.max(1e-3) < self.traffic.billed.mean_or(0.0)
+    }
+
     /// Held jobs go in the order of their billed value for their work; the late ones are given up.
     fn place_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
@@ -972,16 +998,22 @@
 
     /// An engine from which nothing is heard though notes are due is left alone.
     fn watch_outs(&mut self) {
+        let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
         // A job that is out for long tells of its engine's pace before it is back: from a jam none comes back.
         let overdue = |(id, held): (&JobId, &Held)| {
             let out = held.out.as_ref().filter(|out| !out.waited && out.share == 0.0 && !held.over)?;
             let took = (self.now - out.sent).ms();
-            (took > PACE_BAD * held.bare).then_some((*id, out.engine, took))
+            // Of the pool that tells only where the engine speaks: silence is that engine's, or the way's to it.
+            let speaks = every.is_none() || out.noted > out.sent;
+            (took > PACE_BAD * held.bare).then_some((*id, out.engine, took, speaks))
         };
-        for (id, engine, took) in self.jobs.iter().filter_map(overdue).collect::<Vec<_>>() {
-            self.see_pace(id, engine, took, 0.25);
+        for (id, engine, took, speaks) in self.jobs.iter().filter_map(overdue).collect::<Vec<_>>() {
+            self.see_pace(id, engine, took, 0.25, speaks);
+        }
+        let hopeless = |(id, held): (&JobId, &Held)| self.is_hopeless(held).then_some(*id);
+        for id in self.jobs.iter().filter_map(hopeless).collect::<Vec<_>>() {
+            self.give_up(id);
         }
-        let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
         let due = every.map_or(Span(i64::MAX), |every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
         let heard = |e: usize| self.engines.get(&e).map_or(self.now, |engine| engine.heard);
         let quiet = |out: &&Out| self.now - out.noted > due && self.now - heard(out.engine) > due;
@@ -998,6 +1030,15 @@
     fn step_bounds(&mut self) {
         let now = self.now;
         let pool = self.pace.mean_now(now, PACE_OVER, 1.0, PACE_PRIOR);
+        // Likewise for what this gateway has out in all: where loads can't be known, a jam of the whole pool shows
+        // in nothing else. One thread a core of an equal part of the pool is always allowed.
+        let out = self.threads_out();
+        if pool > PACE_BAD {
+            let least = BOUND_LEAST * THREADS_A_CORE * self.cores / self.gateways;
+            self.part = (self.part.min(out) * 0.93).max(least);
+        } else if pool < PACE_GOOD && out > 0.7 * self.part {
+            self.part *= 1.05;
+        }
         self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
         for kind in &mut self.types {
             kind.pace.touch(now, CALM_OVER);
--- a/src/state.rs
+++ b/src/state.rs
@@ -168,6 +168,8 @@
     pub wait: Span,
     pub stretch: f64,
     pub billed: f64,
+    /// Part of the billed value that an answer past its SLA time earns.
+    pub late: f64,
     pub threads: f64,
     pub holds: bool,
     pub waits: bool,
@@ -211,6 +213,7 @@
             wait: settings.number(&format!("Classes.{i}.GiveUp")).map_or(Span(i64::MAX), Span::from_ms),
             stretch: number("AimStretch"),
             billed: number("Worth"),
+            late: number("LateValue"),
             threads: settings.number(&extra("ClassThreads")).unwrap_or(1.0).max(1.0),
             holds: settings.flag(&extra("IsLoad")),
             waits: settings.flag(&extra("WaitsForLoads")),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -671,6 +671,57 @@
     .assert_eq(&lines);
 }
 
+/// A jam of the whole pool, where no gateway can know any engine's load: jobs come back late or not at all. What a
+/// gateway has out in all shrinks to its equal part, and grows again when jobs keep their pace.
+#[test]
+fn a_gateway_that_cannot_know_sends_less_into_a_jam() {
+    let mut desk = Desk::new(&[MANY[0], MANY[1], ("Deductions.Probe", 1.0), ("Classes.0.Aim", 30000.0)], 20);
+    (desk.left, desk.field) = (60000.0, "load_share");
+    let (mut out, mut seen, mut read): (Vec<(f64, u32)>, _, _) = (Vec::new(), Vec::new(), 0);
+    for tenth in 0..300 {
+        // Jobs of 100 ms on their own: they take that long, then 2 s, then that long again.
+        let slow = if (50..150).contains(&tenth) { 2000.0 } else { 100.0 };
+        desk.take(LOOKUP, tenth, None);
+        desk.pass(100.0);
+        let now = desk.now;
+        let sends = desk.trace[read..].split("send ").skip(1).map(|rest| rest.split(' ').next().unwrap());
+        out.extend(sends.map(|job| (now - 50.0, job.parse().unwrap())));
+        read = desk.trace.len();
+        let (back, still): (Vec<_>, Vec<_>) = out.into_iter().partition(|(sent, _)| now - sent >= slow);
+        out = still;
+        back.into_iter().for_each(|(sent, job)| desk.settle(job, 0, Verdict::Done, now - sent));
+        if [49, 149, 299].contains(&tenth) {
+            seen.push(format!("{} sent, {} out", desk.sent.len(), out.len()));
+        }
+    }
+    expect!["49 sent, 1 out, 90 sent, 4 out, 210 sent, 0 out"].assert_eq(&seen.join(", "));
+}
+
+/// A job past its SLA time on an engine that is past its knee keeps the jam going for little.
+#[test]
+fn a_late_job_in_a_jam_is_given_up() {
+    let mut lines = String::new();
+    for share in [0.0, 0.9] {
+        let mut desk = Desk::new(&[("Classes.0.LateValue", 0.5)], 1);
+        for group in 0..40 {
+            let job = desk.take(LOOKUP, group, None);
+            desk.pass(100.0);
+            desk.settle(job, 0, Verdict::Done, 100.0);
+        }
+        let jobs: Vec<u32> = (0..6).map(|group| desk.take(LOOKUP, group, None)).collect();
+        desk.pass(700.0);
+        jobs.iter().for_each(|job| desk.note_on(*job, 0, Note::Share(share)));
+        desk.pass(1800.0);
+        let given_up = jobs.iter().filter(|job| desk.trace.contains(&format!("throttle {job}"))).count();
+        lines += &format!("{share} done: {given_up} of {} given up\n", jobs.len());
+    }
+    expect![[r#"
+        0 done: 6 of 6 given up
+        0.9 done: 0 of 6 given up
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn a_probe_that_takes_long_shows_an_engine_past_full() {
     let mut sent = Vec::new();
