Resting connections to other engines make room where descriptors are used up

At fault: `dial_once` in memory/engines.rs, which gives up when the budget is used up. Shown by a test at the least limits (100 descriptors, 36 of them for engines) with 200 engines and jobs of 100 table groups: without the change a job never reaches any engine and the test ends after 20 s; with it all 100 are done. The owners' thread, which has all owners, ends the connection that has rested longest elsewhere and counts it (made_room).

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -16,10 +16,8 @@
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Duration;
 
 const STACK: usize = 64 * 1024;
-const COUNTS_EVERY: Duration = Duration::from_secs(30);
 
 /// Starts a thread.
 fn thread(name: &str, stack: usize, what: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
@@ -76,13 +74,6 @@
     thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
         .map_err(cannot("start a thread"))?;
     tracing::info!("{} listens on {listens}", config.name);
-    thread("counts", STACK, || {
-        loop {
-            std::thread::sleep(COUNTS_EVERY);
-            tracing::info!("counts: {}", memory::counts::line());
-        }
-    })
-    .map_err(cannot("start a thread"))?;
     while signals.forever().next() == Some(SIGHUP) {
         reload::reload(&mut config, Config::read(environment), &bus);
     }
--- a/crates/server/src/memory/counts.rs
+++ b/crates/server/src/memory/counts.rs
@@ -14,7 +14,7 @@
 /// Jobs that found one of the program's own limits reached.
 pub static AT_LIMIT: Count = Count("at_limit", AtomicU64::new(0));
 pub static UNUSABLE: Count = Count("unusable", AtomicU64::new(0));
-/// Idle clients that made room for others.
+/// Idle connections, of clients and to engines, that made room for others.
 pub static MADE_ROOM: Count = Count("made_room", AtomicU64::new(0));
 pub static CUT_CLIENTS: Count = Count("cut_clients", AtomicU64::new(0));
 /// Words of engines that nobody waited for.
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -303,6 +303,30 @@
         !self.connections.is_empty()
     }
 
+    /// Something waits here for a descriptor that it can't have.
+    pub fn lacks_room(&self, means: &Means) -> bool {
+        !self.waiting.is_empty()
+            && self.dialing == 0
+            && self.connections.len() < means.terms.connections
+            && means.sockets.lease(1).is_none()
+    }
+
+    /// Since when the connection has rested that has rested longest.
+    pub fn rests_since(&self) -> Option<Instant> {
+        self.longest_rest().map(|(since, _)| since)
+    }
+
+    fn longest_rest(&self) -> Option<(Instant, u64)> {
+        let resting = self.connections.iter().filter(|(_, connection)| connection.ids.is_empty());
+        resting.map(|(key, connection)| (connection.since, *key)).min()
+    }
+
+    /// Ends that connection.
+    pub fn make_room(&mut self) {
+        let ended = self.longest_rest().and_then(|(_, key)| self.connections.remove(&key));
+        ended.into_iter().for_each(|connection| drop(connection.stream.shutdown(Shutdown::Both)));
+    }
+
     /// Nothing can come of it any more.
     pub fn over(&self) -> bool {
         self.gone && self.outs.is_empty() && self.doubtful.is_empty()
@@ -378,7 +402,7 @@
     }
 
     /// Finds connections for what waits, in turn, or opens more.
-    fn assign_waiting(&mut self, means: &Means) {
+    pub fn assign_waiting(&mut self, means: &Means) {
         if self.waiting.is_empty() {
             return;
         }
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -2,6 +2,7 @@
 //! hundreds of gateways and engines on one machine runs out of thread numbers.
 
 use super::budget::Budget;
+use super::counts;
 use super::engines::{Heard, Means, News, Order, Owner, Terms};
 use super::readers::Readers;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
@@ -134,10 +135,26 @@
         }
     }
 
+    /// Where descriptors are used up by connections that rest at other engines, the one that has rested longest
+    /// makes room.
+    fn make_room(&mut self, key: u64) {
+        let others = self.owners.iter().filter(|(other, _)| **other != key);
+        let resting = others.filter_map(|(other, owner)| Some((owner.rests_since()?, *other)));
+        let Some((_, other)) = resting.min() else { return };
+        self.owners.entry(other).and_modify(Owner::make_room);
+        counts::MADE_ROOM.add();
+        let means = &self.means;
+        self.owners.entry(key).and_modify(|owner| owner.assign_waiting(means));
+    }
+
     /// Lets an owner do something, then notes when it is due next, or lets it go when it is over.
     fn with(&mut self, key: u64, what: impl FnOnce(&mut Owner, &Means)) {
         let Some(owner) = self.owners.get_mut(&key) else { return };
         what(owner, &self.means);
+        if owner.lacks_room(&self.means) {
+            self.make_room(key);
+        }
+        let Some(owner) = self.owners.get_mut(&key) else { return };
         let (due, over) = (owner.due(), owner.over());
         if let Some(old) = self.due.remove(&key) {
             self.dues.remove(&(old, key));
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -31,6 +31,7 @@
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room
 const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
+const COUNTS_EVERY: Duration = Duration::from_secs(30); // pace of the log line of counts
 const SMALL: usize = 4096; // bytes of an unfinished message that are not counted
 /// After each message of no use the next one is read this much later, up to a limit.
 const PAUSE: Duration = Duration::from_millis(5);
@@ -114,7 +115,7 @@
 
     pub fn run(mut self) {
         let mut events = Events::with_capacity(EVENTS);
-        let mut swept = Instant::now();
+        let (mut swept, mut counted) = (Instant::now(), Instant::now());
         loop {
             let until = |number: &usize| self.all.get(number).and_then(|ear| ear.pauses_until);
             let pauses = self.paused.iter().filter_map(until);
@@ -147,6 +148,10 @@
                 swept = Instant::now();
                 self.sweep();
             }
+            if counted.elapsed() >= COUNTS_EVERY {
+                counted = Instant::now();
+                tracing::info!("counts: {}", counts::line());
+            }
         }
     }
 
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -882,6 +882,33 @@
     expect!["few|1: done |few|2: done |few"].assert_eq(&told.join("|"));
 }
 
+/// Descriptors for engines are fewer than the engines, and resting connections to other engines hold them all: the
+/// one that has rested longest makes room. Each job goes to its first engine, none is turned back on the way.
+#[test]
+fn connections_that_rest_elsewhere_make_room() {
+    let (mut engines, bus) = (Engines::start(0), Bus::start());
+    engines.add("0.0.0.0:0");
+    let port = engines.addresses[0].rsplit(':').next().unwrap().to_string();
+    let entries = (1..=200).map(|i| entry(&format!("e{i}"), &format!("127.3.0.{i}:{port}"), "in_service"));
+    let entries: Vec<Json> = entries.collect();
+    let mut config = config(&engines, &bus.address);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 24, "sockets": 100});
+    config["known"]["batch"] = json!([event(1, true, entries)]);
+    let program = Program::with(config);
+    let mut client = program.client();
+    let mut done = 0;
+    for message in 1..=100 {
+        let (id, statement) = (id(message), format!("select * from sales_{message}.orders"));
+        let fields = [("i", id.as_str()), ("d", "9000"), ("h", "100.0"), ("mem", "96")];
+        client.write(&job(message, "load", &fields, &statement));
+        engines.answer(message);
+        done += usize::from(client.next() == format!("{message}: done "));
+    }
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    expect!["100 done, descriptors kept: true"]
+        .assert_eq(&format!("{done} done, descriptors kept: {}", descriptors <= 100));
+}
+
 /// Engines come and go under ever new ids, and clients under ever new connections: what was kept for them is let
 /// go, and no more threads, descriptors or memory are held at the end than after a while.
 #[test]
