Own parts shrink from the most of late; jobs larger than a gateway's part of an engine begin anywhere

Own parts, pace and threads out of all gateways, logged each beat: the pool's pace is 1.9 in the middle, 1.3 to 3.0 between the tenths, at 10 s; the part is at its least, 1.94, in a tenth of the gateways from 6 s and in half of them at 14 s ("part 1.94 out 0 pool 2.4"). A gateway with a job a second has noise for a pace and often nothing out at the beat that finds it bad; `part.min(out)` then fell to the least at once, and grew only under a pace of 1.5, which the middle never saw. Then a trace, jobs by engine over two seconds: 100, 95, 94 ... 12 with 48 on the mean, one of 70 jobs done at engines 29 and 39. At fault for that: a heavy job passes the bound on own work by itself, so that each gateway sends one to the first engine of a hot group every 16 s; times 300 that is 19 a second.

Now the part shrinks from the most that was out of late and grows whenever the pace is not bad; a job that is more than 1.5 times a gateway's part of an engine begins its walk anywhere.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -95,6 +95,8 @@
     work: Fading,
     /// Own threads out in all, up to which jobs go out.
     part: f64,
+    /// The most of late.
+    most_out: f64,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
@@ -675,11 +677,15 @@
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
+        // So do jobs each of which is more than this gateway's part of an engine: no walk of its own can level them.
+        let large = blind && held.cost > HOME * mean;
         let first = if kind.holds { (far * draw) as usize } else { 0 };
+        let turned = if large && !kind.holds { (order.len() as f64 * draw) as usize } else { 0 };
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
-        let walk = (first..order.len()).map(|at| order[if kind.holds { order.len() - 1 - at } else { at }]);
+        let walk = (first..order.len())
+            .map(|at| order[if kind.holds { order.len() - 1 - at } else { (at + turned) % order.len() }]);
         for e in turns.iter().copied().chain(walk.filter(|e| !turns.contains(e))) {
             let engine = &self.engines[&e];
             let tried = engine.on_trial && engine.trial.is_some();
@@ -1033,10 +1039,11 @@
         // Likewise for what this gateway has out in all: where loads can't be known, a jam of the whole pool shows
         // in nothing else. One thread a core of an equal part of the pool is always allowed.
         let out = self.threads_out();
+        self.most_out = (0.97 * self.most_out).max(out);
         if pool > PACE_BAD {
             let least = BOUND_LEAST * THREADS_A_CORE * self.cores / self.gateways;
-            self.part = (self.part.min(out) * 0.93).max(least);
-        } else if pool < PACE_GOOD && out > 0.7 * self.part {
+            self.part = (self.part.min(self.most_out) * 0.93).max(least);
+        } else if out > 0.7 * self.part {
             self.part *= 1.05;
         }
         self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
