Where gateways go by own figures, an engine's jam is remembered until the next job there

At fault: `see_pace` clips a stuck job at six times its bare work and weighs it by that, so a lookup of 50 ms that is out for all its 1.9 s counts 300 ms against 500 ms of presumed calm; it fades over 3 s, where a gateway meets an engine every 10 s; a gateway that has just started counts nothing before a type's first job is back.

Now a job out for seconds says as much as a large one would; where gateways go by own figures an engine's pace looks back as far as own work does (15 s) and told costs are believed from the start. Could do harm where one bad plan speaks for its engine: that is one gateway's view of one engine for seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,7 @@
 const PACE_PRIOR: f64 = 500.0; // calm is presumed as firmly as this much bare work (ms) would show it
 const PACE_OVER: Span = Span(3_000_000); // how far back pace looks
 const PACE_CLIP: f64 = 6.0; // a single job says no more than this of its engine's pace
+const LITTLE: f64 = 0.02; // a share of the work so small tells no time for the whole
 const GRANT_START: f64 = 1.25; // memory granted over memory told
 const GRANT_MOST: f64 = 4.0;
 const GRANT_UP: f64 = 0.2; // how far a spill moves it, and a job without a spill
@@ -241,7 +242,7 @@
                 kind.grant += GRANT_UP.max(1.0 / (1.0 + kind.spills)) * (needed - kind.grant).max(0.0);
             }
             let (to, took, known) =
-                (out.engine, (now - out.sent).ms() / out.share, out.share > 0.02 && !out.waited);
+                (out.engine, (now - out.sent).ms() / out.share, out.share > LITTLE && !out.waited);
             if let Some(engine) = self.engines.get_mut(&to) {
                 (engine.heard, engine.on_trial) = (now, false);
                 if note == Note::WaitsForLoad {
@@ -598,6 +599,17 @@
         if self.many() { (ASK_SPEND / price.max(1e-6)).min(4.0) } else { PROBES_A_JOB }
     }
 
+    /// Where reports can't be had for each job's pair, gateways decide on their own figures.
+    fn blind(&self) -> bool {
+        self.many() && self.asks_a_job() < 2.0
+    }
+
+    /// How far back an engine's pace looks: a gateway that decides on its own figures meets an engine seldom,
+    /// and would have forgotten a jam there before it sends the next job into it.
+    fn pace_life(&self) -> Span {
+        if self.blind() { CALM_OVER } else { PACE_OVER }
+    }
+
     /// Whether bounds are whole engines' here, for all gateways together.
     fn many(&self) -> bool {
         self.running.first().is_some_and(|e| self.engines[e].whole)
@@ -628,7 +640,7 @@
         }
         let order = self.order(self.jobs[&id].job.group);
         let many = self.many();
-        let blind = many && self.asks_a_job() < 2.0;
+        let (blind, pace_life) = (self.blind(), self.pace_life());
         if blind && self.threads_out() >= self.part {
             self.no_room = true;
             return None;
@@ -648,11 +660,12 @@
         let mean = self.work.read(self.now, CALM_OVER) / order.len() as f64;
         let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
         let now = self.now;
+        let past = |engine: &Engine| engine.pace_at(now, pace_life, PACE_PRIOR) >= PACE_BAD;
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             let most = engine.bound * self.warmth(engine, now);
             if engine.whole {
-                let fits = load <= most * dense && engine.pace_at(now, PACE_OVER, PACE_PRIOR) < PACE_BAD;
+                let fits = load <= most * dense && (blind || !past(engine));
                 let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
                 // Its part of what this gateway sent of late: as all walk alike, of what all sent.
                 let part = || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now);
@@ -694,6 +707,8 @@
             }
             let held_there = engine.held(group, now);
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
+            // A gateway's memory of a jam is long: engines in it come last, and its own part bounds what they get.
+            let last = last || blind && past(engine);
             let home = kind.holds && order.first() == Some(&e);
             let tier = if last { 2 } else { usize::from(home || held_there && (kind.waits || kind.holds)) };
             if open.iter().map(Vec::len).sum::<usize>() >= depth {
@@ -722,7 +737,8 @@
             return None;
         }
         let no_room = below.iter().all(Vec::is_empty);
-        let tier = open.iter().position(|open| !open.is_empty()).unwrap_or(0);
+        let found = if blind { &below } else { &open };
+        let tier = found.iter().position(|found| !found.is_empty()).unwrap_or(0);
         let mut pair = if near.len() == 2 { near } else { std::mem::take(&mut below[tier]) };
         if pair.len() < 2 && !self.tight && !many {
             pair = std::mem::take(&mut open[tier]);
@@ -871,19 +887,23 @@
     /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told
     /// costs are wrong by type, as the lowest pace of late shows. Answers that bill the work make it exact.
     fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64, of_pool: bool) {
+        let (blind, life) = (self.blind(), self.pace_life());
         let held = &self.jobs[&id];
         let kind = &mut self.types[held.job.reservation];
         let bare = held.bare.max(1.0);
         if weight >= 1.0 {
             kind.pace.add(self.now, CALM_OVER, (took / bare).min(PACE_CLIP), bare);
         }
-        let Some(calm) = kind.calm else { return };
-        let pace = (took / bare / calm).min(PACE_CLIP);
+        // A gateway that begins in a jam believes told costs: no job comes back to show their calm pace.
+        let Some(calm) = kind.calm.or((blind && weight < 1.0).then_some(1.0)) else { return };
+        let pace = took / bare / calm;
         if of_pool {
-            self.pace.add(self.now, PACE_OVER, pace, bare * weight);
+            self.pace.add(self.now, PACE_OVER, pace.min(PACE_CLIP), bare * weight);
         }
+        // A small job that is stuck for seconds says as much of its engine as a large one does.
+        let most = PACE_CLIP * (PACE_PRIOR / bare).max(1.0);
         if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.pace.add(self.now, PACE_OVER, pace, bare * weight);
+            engine.pace.add(self.now, life, pace.min(most), bare * weight);
         }
     }
 
@@ -937,7 +957,7 @@
         let Some(engine) = self.engines.get(&out.engine).filter(|_| late) else { return false };
         let left = held.cost * (1.0 - out.share).max(0.05) / 1000.0;
         self.settings.flag("Ceilings.Cancelling")
-            && engine.pace_at(self.now, PACE_OVER, PACE_PRIOR) > PACE_BAD
+            && engine.pace_at(self.now, self.pace_life(), PACE_PRIOR) > PACE_BAD
             && kind.late * kind.billed / left.max(1e-3) < self.traffic.billed.mean_or(0.0)
     }
 
@@ -1007,7 +1027,7 @@
         let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
         // A job that is out for long tells of its engine's pace before it is back: from a jam none comes back.
         let overdue = |(id, held): (&JobId, &Held)| {
-            let out = held.out.as_ref().filter(|out| !out.waited && out.share == 0.0 && !held.over)?;
+            let out = held.out.as_ref().filter(|out| !out.waited && out.share <= LITTLE && !held.over)?;
             let took = (self.now - out.sent).ms();
             // Of the pool that tells only where the engine speaks: silence is that engine's, or the way's to it.
             let speaks = every.is_none() || out.noted > out.sent;
@@ -1034,7 +1054,7 @@
     /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when
     /// they do not. Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
-        let now = self.now;
+        let (now, life, blind) = (self.now, self.pace_life(), self.blind());
         let pool = self.pace.mean_now(now, PACE_OVER, 1.0, PACE_PRIOR);
         // Likewise for what this gateway has out in all: where loads can't be known, a jam of the whole pool shows
         // in nothing else. One thread a core of an equal part of the pool is always allowed.
@@ -1059,8 +1079,8 @@
         for (engine, fill) in self.engines.values_mut().zip(fills) {
             // Where reports stand still past full, an engine little seen is presumed to keep the pool's pace.
             let presumed = if engine.whole && engine.jobs.is_none() { pool } else { 1.0 };
-            let pace = engine.pace.mean_now(now, PACE_OVER, presumed, PACE_PRIOR);
-            let least = BOUND_LEAST * engine.share * (pool / pace).min(1.0);
+            let pace = engine.pace.mean_now(now, life, presumed, PACE_PRIOR);
+            let least = BOUND_LEAST * engine.share * if blind { 1.0 } else { (pool / pace).min(1.0) };
             if pace > PACE_BAD && fill > 0.5 * engine.bound {
                 engine.bound = (engine.bound * 0.93).max(least);
             } else if pace < PACE_GOOD && fill > 0.7 * engine.bound {
