Turns at cold engines follow each other, and neither own work nor a jam holds jobs from them

Ruled out: room (0 to 3 threads out there).

At fault, all in src/logic.rs: in `choose`, `part` lets a gateway send one job a fading time to an engine even on its turn there, where the cold budget is the bound; the own part, full of jobs in jams elsewhere, returns before the walk; in `cold_budget` every other slot is empty. Now slots follow each other and a turn shares 0.4 of the budget, so that the two turns that a window meets keep within 0.8 of it; gateways whose clocks differ by half a window add 0.2.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,7 @@
 const FORGET: Span = Span(60_000_000); // what was not met for so long is forgotten
 const COLD_JOBS: f64 = 2.0; // small jobs, as the settings tell them, that a turn at a cold engine is to hold
 const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
+const COLD_TURN: f64 = 0.4; // and in one turn, as a window meets two
 
 #[derive(Default)]
 pub struct Logic {
@@ -460,27 +461,28 @@
 
     /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal
     /// share. Where that is less than a job, gateways take turns, as time since the start, engine and own
-    /// number say: in every other slot of one window's length, so that no window meets two, as many gateways
-    /// as heavy jobs fit, or small ones in pairs, share it all. One that has just started may have forgotten what it sent, and waits.
+    /// number say: in each slot of one window's length as many gateways as heavy jobs fit, or small ones in
+    /// pairs, share a part so small that the two turns that a window meets keep within the budget. One that has
+    /// just started may have forgotten what it sent, and waits.
     fn cold_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
         let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else { return f64::INFINITY };
         let sent = engine.sent.since(self.now - window);
-        let whole = |at| COLD_CARE * multiple * self.warmth(engine, at) * engine.cores * window.ms();
+        let whole = |at| multiple * self.warmth(engine, at) * engine.cores * window.ms();
         if !engine.whole {
-            return whole(self.now) / self.gateways - sent;
+            return COLD_CARE * whole(self.now) / self.gateways - sent;
         }
         let slot = (self.now - ready).0.max(0) / window.0.max(1);
-        let whole = whole(ready + window.times(slot as f64));
+        let whole = COLD_TURN * whole(ready + window.times(slot as f64));
         // Two turns of three are for small jobs: many gateways have some, whereas few have a large one in time.
         let guessed = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0);
         let (heaviest, lightest) =
             (guessed.clone().fold(1.0, f64::max), guessed.fold(f64::INFINITY, f64::min));
-        let unit = if slot / 2 % 3 == 0 { heaviest } else { COLD_JOBS * lightest.max(1.0) };
+        let unit = if slot % 3 == 0 { heaviest } else { COLD_JOBS * lightest.max(1.0) };
         let holders = (whole / unit).floor().clamp(1.0, self.gateways);
         let turn = (mix(engine.hash ^ slot as u64) % self.gateways as u64) as f64 + self.contract("Ordinal");
-        let mine = slot % 2 == 0 && turn % self.gateways < holders && self.started + window <= self.now;
+        let mine = turn % self.gateways < holders && self.started + window <= self.now;
         if mine { whole / holders - sent } else { 0.0 }
     }
 
@@ -641,10 +643,6 @@
         let order = self.order(self.jobs[&id].job.group);
         let many = self.many();
         let (blind, pace_life) = (self.blind(), self.pace_life());
-        if blind && self.threads_out() >= self.part {
-            self.no_room = true;
-            return None;
-        }
         let draw = if many { self.chance.next() } else { 0.0 };
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
@@ -667,8 +665,12 @@
             if engine.whole {
                 let fits = load <= most * dense && (blind || !past(engine));
                 let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
-                // Its part of what this gateway sent of late: as all walk alike, of what all sent.
-                let part = || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now);
+                // Its part of what this gateway sent of late: as all walk alike, of what all sent. On a turn at a
+                // cold engine its budget says how much: the part of one gateway would leave most of it unused.
+                let part = || {
+                    let turn = self.cold_budget(engine) < f64::INFINITY;
+                    turn || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now)
+                };
                 return fits && (fresh || blind && part());
             }
             load <= most || (engine.outs == 0 && room())
@@ -697,9 +699,11 @@
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
+        // What a jam leaves to this gateway is the warm pool's: a cold engine's budget is its own.
+        let full = blind && self.threads_out() >= self.part;
         let walk = (first..order.len())
             .map(|at| order[if kind.holds { order.len() - 1 - at } else { (at + turned) % order.len() }]);
-        for e in turns.iter().copied().chain(walk.filter(|e| !turns.contains(e))) {
+        for e in turns.iter().copied().chain(walk.filter(|e| !full && !turns.contains(e))) {
             let engine = &self.engines[&e];
             let tried = engine.on_trial && engine.trial.is_some();
             if engine.shunned_until.max(engine.full_until) > self.now || tried || !self.may_go_to(id, e) {
