What a gateway has out is bounded by the work that comes to it, before any sign of a jam

Ruled out: uneven homes as the start (10 to 90 in 100 engines get 44 to 127 dispatches where 91 is the middle, as before the burst), faster growth of parts alone (no gain).

At fault, src/logic.rs, `step_bounds`: the part starts unbounded and shrinks by 7% a beat from the most that was out once the pace is known to be bad, which jobs tell only when they are late; and its least is the same for a gateway with five times the mean traffic. Jobs out are the work that comes times their pace (Little), and a gateway knows both at once. Now `choose` sends nothing more where out passes the work that comes at the pace up to which bounds grow (1.5) and one job of the widest type; a bad pace takes the part there at once, then 7% a beat as before, to no less than 0.7 of the work that comes. The rate is read from the first job on, so that a gateway that has just started is bounded too. It should also guard against whatever makes jobs slow everywhere at once; it could do harm where jobs that wait behind loads are most of what is out: then others of that gateway wait for them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,7 @@
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.5; // the bound grows while jobs take at most this multiple of their bare work
+const PACE_LEAST: f64 = 0.7; // and the least for what a gateway has out in all
 const PACE_TIGHT: f64 = 1.4; // from here on jobs that find no engine under its bound are held
 const PACE_BAD: f64 = 2.0; // and shrinks from here on
 const BOUND_LEAST: f64 = 0.5; // of an equal share of an engine: one thread a core jams nothing
@@ -95,10 +96,8 @@
     pace: Fading,
     /// Work sent of late.
     work: Fading,
-    /// Own threads out in all, up to which jobs go out.
+    /// Own threads out in all, up to which jobs go out in a jam.
     part: f64,
-    /// The most of late.
-    most_out: f64,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
@@ -175,7 +174,7 @@
         let ends = (now + job.left.min(self.types[job.reservation].wait)).min(self.stops);
         let largest = self.running.iter().map(|e| self.engines[e].memory_mb).fold(0.0, f64::max);
         let (guard, kind) = (ends - self.guard(), &mut self.types[job.reservation]);
-        // Estimates may be hostile: nothing is learnt of more work than clients wait for, or memory than there is.
+        // Estimates may be hostile: nothing is learnt of work past clients' wait or memory past any engine.
         kind.tell(now, RECENT, &job, (ends - now).ms() * kind.threads, largest);
         let bias = usual_work(kind) / kind.told_cost.mean_or(usual_work(kind)).max(1e-6);
         let cost = job.cost.map_or(usual_work(kind), |told| told.ms() * bias);
@@ -219,7 +218,6 @@
         self.learn(id, &out, &outcome);
         (out.next)(self, id, outcome.verdict);
         self.release(id);
-        // Held jobs are looked at soon after, once for all that came back by then.
         if !self.waiting.is_empty() && !self.placing {
             self.place_after(PLACE_EVERY);
         }
@@ -228,8 +226,8 @@
 
     pub fn progress(&mut self, now: Moment, id: JobId, copy: u32, note: Note) -> Decided {
         self.now = now;
-        let loads = self.types.iter().filter(|kind| kind.holds);
-        let load_takes = loads.filter_map(|kind| kind.latency).fold(BEAT.ms(), f64::max);
+        let loads = self.types.iter().filter(|kind| kind.holds).filter_map(|kind| kind.latency);
+        let load_takes = loads.fold(BEAT.ms(), f64::max);
         if let Some(held) = self.jobs.get_mut(&id)
             && let Some(out) = held.out.as_mut().filter(|out| out.copy == copy)
         {
@@ -307,8 +305,7 @@
         self.finish()
     }
 
-    /// A planned stop: a job that is open at `by` gets its final answer then, as if its client left, and one
-    /// that has not begun and can't be done by then at once, so that it may go elsewhere.
+    /// A planned stop: what is open at `by` gets its final answer then, what can't be done by then at once.
     pub fn stopping(&mut self, now: Moment, by: Moment) -> Decided {
         (self.now, self.stops) = (now, by);
         for held in self.jobs.values_mut() {
@@ -355,8 +352,7 @@
         Span::from_ms(self.contract(name))
     }
 
-    /// Load on an engine with so much more. Where its bound is the whole engine's, all gateways' jobs count,
-    /// as its last report told them, with what this one sent since.
+    /// Load on an engine with so much more; where the bound is a whole engine's, all gateways', as last told.
     fn fill(&self, engine: &Engine, threads: f64, memory: f64) -> f64 {
         let own = load(engine, threads, memory);
         // What was told long ago says nothing: a gateway that can't know decides on its own figures.
@@ -378,8 +374,8 @@
         let restarted = listing.ready_at.is_some()
             && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
         if restarted || !self.engines.contains_key(&id) {
-            // An equal share of less than one thread has no meaning: where reports tell of all gateways' jobs
-            // and may be asked for, the bound then is the whole engine's, for all.
+            // An equal share under one thread means nothing: the bound is the whole engine's, for all, if
+            // reports tell of all gateways' jobs and may be asked for.
             let told =
                 |i| ["concurrent", "load_share"].contains(&self.settings.text(&format!("Report.Names.{i}")));
             let asked = self.settings.flag("Ceilings.Probes") && (0..4).any(told);
@@ -462,8 +458,8 @@
     /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal
     /// share. Where that is less than a job, gateways take turns, as time since the start, engine and own
     /// number say: in each slot of one window's length as many gateways as heavy jobs fit, or small ones in
-    /// pairs, share a part so small that the two turns that a window meets keep within the budget. One that has
-    /// just started may have forgotten what it sent, and waits.
+    /// pairs, share so little that the two turns that a window meets keep to the budget. One that has just
+    /// started may have forgotten what it sent, and waits.
     fn cold_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
@@ -475,7 +471,7 @@
         }
         let slot = (self.now - ready).0.max(0) / window.0.max(1);
         let whole = COLD_TURN * whole(ready + window.times(slot as f64));
-        // Two turns of three are for small jobs: many gateways have some, whereas few have a large one in time.
+        // Two turns of three are for small jobs: many gateways have some, few have a large one in time.
         let guessed = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0);
         let (heaviest, lightest) =
             (guessed.clone().fold(1.0, f64::max), guessed.fold(f64::INFINITY, f64::min));
@@ -514,9 +510,8 @@
     }
 
     /// Priority and memory, where they are heeded: jobs worth much for their work go first, late ones last.
-    /// The grant is the told need times what notes of spilling taught for the type, as told needs are wrong
-    /// by type. A job gets at least what goes with its threads, as far as it may need it: while threads are
-    /// under the bound all such grants fit.
+    /// The grant is the told need times what notes of spilling taught, and at least what goes with the
+    /// job's threads, as far as it may need it: while threads are under the bound all such grants fit.
     fn terms(&self, id: JobId, to: usize) -> Option<Terms> {
         let [ranks, grants] = ["Extra.RanksHeeded", "Extra.GrantsCount"].map(|name| self.settings.flag(name));
         let held = &self.jobs[&id];
@@ -527,8 +522,7 @@
             _ if kind.holds => 2,
             _ => 1,
         };
-        let engine = &self.engines[&to];
-        let fits = engine.memory_mb * kind.threads / (engine.cores * THREADS_A_CORE);
+        let fits = self.engines[&to].memory_mb * kind.threads / (self.engines[&to].cores * THREADS_A_CORE);
         let grant = (held.memory * kind.grant).max(fits.min(held.memory * GRANT_MOST));
         let grant_mb = if grants { grant.round() } else { 0.0 };
         (ranks || grants).then_some(Terms { rank, grant_mb })
@@ -591,6 +585,12 @@
         }
     }
 
+    /// Threads that this gateway has out at a pace, by the work that comes to it: rate times time.
+    fn at_pace(&self, pace: f64) -> f64 {
+        let seen = 1.0 - (-((self.now - self.started).ms().max(1.0) / RECENT.ms())).exp();
+        pace * self.arrivals.read(self.now, RECENT) / (seen * RECENT.ms())
+    }
+
     fn threads_out(&self) -> f64 {
         self.engines.values().map(|engine| engine.threads).sum()
     }
@@ -606,8 +606,7 @@
         self.many() && self.asks_a_job() < 2.0
     }
 
-    /// How far back an engine's pace looks: a gateway that decides on its own figures meets an engine seldom,
-    /// and would have forgotten a jam there before it sends the next job into it.
+    /// How far back an engine's pace looks: without reports, as far as to the last job there.
     fn pace_life(&self) -> Span {
         if self.blind() { CALM_OVER } else { PACE_OVER }
     }
@@ -646,14 +645,12 @@
         let draw = if many { self.chance.next() } else { 0.0 };
         let held = &self.jobs[&id];
         let (kind, group) = (&self.types[held.job.reservation], held.job.group);
-        // At most the bound's load, or one job on an engine with none while there is room elsewhere.
         let total = |of: fn(&Engine) -> f64| self.running.iter().map(|e| of(&self.engines[e])).sum::<f64>();
         let room = OnceCell::new();
         let room = || *room.get_or_init(|| total(|e| load(e, 0.0, 0.0)) < total(|e| e.bound));
         // Types that bill more for their work than the usual job may pass the bound.
         let billed = kind.billed / (usual_work(kind).max(1.0) / 1000.0);
-        // Where not every job's pair can be probed, jobs that bill more than others come first, and no job waits
-        // for reports that it can't have.
+        // Where not every pair can be probed, jobs that bill more come first, and none waits for reports.
         let dear = !many || self.asks > 0.5 * ASKS_KEPT || kind.billed >= self.traffic.dear.mean_or(0.0);
         let mean = self.work.read(self.now, CALM_OVER) / order.len() as f64;
         let dense = (billed / self.traffic.billed.mean_or(billed).max(1e-9)).sqrt().clamp(1.0, 1.5);
@@ -665,13 +662,11 @@
             if engine.whole {
                 let fits = load <= most * dense && (blind || !past(engine));
                 let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
-                // Its part of what this gateway sent of late: as all walk alike, of what all sent. On a turn at a
-                // cold engine its budget says how much: the part of one gateway would leave most of it unused.
-                let part = || {
-                    let turn = self.cold_budget(engine) < f64::INFINITY;
-                    turn || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now)
-                };
-                return fits && (fresh || blind && part());
+                // Its part of what this gateway sent of late: as all walk alike, of what all sent. On a turn
+                // at a cold engine the budget says how much: a part would leave most of it unused.
+                let turn = || self.cold_budget(engine) < f64::INFINITY;
+                let part = || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now);
+                return fits && (fresh || blind && (turn() || part()));
             }
             load <= most || (engine.outs == 0 && room())
         };
@@ -692,15 +687,17 @@
         let (mut open, mut below, mut near) =
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
-        // So do jobs each of which is more than this gateway's part of an engine: no walk of its own can level them.
+        // So do jobs of more than this gateway's part of an engine each: its own walk can't level them.
         let large = blind && held.cost > HOME * mean;
         let first = if kind.holds { (far * draw) as usize } else { 0 };
         let turned = if large && !kind.holds { (order.len() as f64 * draw) as usize } else { 0 };
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
-        // What a jam leaves to this gateway is the warm pool's: a cold engine's budget is its own.
-        let full = blind && self.threads_out() >= self.part;
+        // Jobs out are the work that comes times pace: too many are a jam that other signs show later. The
+        // bound is on the warm pool: a cold engine's budget is its own.
+        let widest = self.types.iter().map(|kind| kind.threads).fold(1.0, f64::max);
+        let full = blind && self.threads_out() >= self.part.min(self.at_pace(PACE_GOOD) + widest);
         let walk = (first..order.len())
             .map(|at| order[if kind.holds { order.len() - 1 - at } else { (at + turned) % order.len() }]);
         for e in turns.iter().copied().chain(walk.filter(|e| !full && !turns.contains(e))) {
@@ -709,12 +706,12 @@
             if engine.shunned_until.max(engine.full_until) > self.now || tried || !self.may_go_to(id, e) {
                 continue;
             }
-            let held_there = engine.held(group, now);
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
-            // A gateway's memory of a jam is long: engines in it come last, and its own part bounds what they get.
+            // The memory of a jam is long: such engines come last, and the own part bounds what they get.
             let last = last || blind && past(engine);
             let home = kind.holds && order.first() == Some(&e);
-            let tier = if last { 2 } else { usize::from(home || held_there && (kind.waits || kind.holds)) };
+            let behind = home || engine.held(group, now) && (kind.waits || kind.holds);
+            let tier = if last { 2 } else { usize::from(behind) };
             if open.iter().map(Vec::len).sum::<usize>() >= depth {
                 break;
             }
@@ -807,8 +804,7 @@
         let e = [processor - self.gamma[0], memory - self.gamma[1]];
         self.deviations.push(e, DEVIATIONS);
         // A little on the diagonal keeps the covariance regular when deviations hardly vary.
-        let squared = self.deviations.squared_length(e, 1e-3);
-        (e[0].signum() * squared.max(0.0).sqrt()).tanh()
+        (e[0].signum() * self.deviations.squared_length(e, 1e-3).max(0.0).sqrt()).tanh()
     }
 
     /// γ steps by c/√t against the mean error since its last step.
@@ -888,8 +884,8 @@
         }
     }
 
-    /// Notes a job's time against that of its bare work, and of what is usual for its type in calm: told
-    /// costs are wrong by type, as the lowest pace of late shows. Answers that bill the work make it exact.
+    /// Notes a job's time against its bare work, and what is usual for its type in calm: told costs are wrong
+    /// by type, as the lowest pace of late shows. Answers that bill the work make it exact.
     fn see_pace(&mut self, id: JobId, engine: usize, took: f64, weight: f64, of_pool: bool) {
         let (blind, life) = (self.blind(), self.pace_life());
         let held = &self.jobs[&id];
@@ -911,8 +907,8 @@
         }
     }
 
-    /// Leaves an engine alone, twice as long if that was not long ago, then puts it on trial: one job at a
-    /// time until it answers or sends a note. Meets refused and reset connections, flapping and silence.
+    /// Leaves an engine alone, twice as long if that was not long ago, then on trial, one job at a time until
+    /// it answers or sends a note. Meets refused and reset connections, flapping and silence.
     fn shun(&mut self, id: usize) {
         let Some(engine) = self.engines.get_mut(&id).filter(|e| e.shunned_until <= self.now) else { return };
         let again = self.now - engine.shunned_until < engine.backoff.times(4.0);
@@ -952,8 +948,7 @@
         }
     }
 
-    /// A late job on an engine past its knee, which now earns less for the work that is left than a usual one
-    /// would: it goes, for what stays late in a jam keeps the jam. Only where a recall ends it there.
+    /// A late job past an engine's knee that earns less for what is left than a usual one: it keeps the jam.
     fn is_hopeless(&self, held: &Held) -> bool {
         let kind = &self.types[held.job.reservation];
         let Some(out) = held.out.as_ref().filter(|out| !held.over && !out.recalled) else { return false };
@@ -1002,8 +997,7 @@
         self.place_waiting();
     }
 
-    /// Forgets what can't matter any more: engines that left a while ago and that no open job has to do with,
-    /// and table groups and keys that were not met of late. All of these may be ever new.
+    /// Forgets what may be ever new: engines gone that no open job concerns, groups and keys not met of late.
     fn let_go(&mut self) {
         let now = self.now;
         let met: Vec<usize> = self.jobs.values().flat_map(Held::engines).collect();
@@ -1029,11 +1023,11 @@
     /// An engine from which nothing is heard though notes are due is left alone.
     fn watch_outs(&mut self) {
         let every = self.settings.number("Extra.Progress").filter(|every| *every > 0.0);
-        // A job that is out for long tells of its engine's pace before it is back: from a jam none comes back.
+        // A job out for long tells of its engine's pace before it is back: from a jam none comes back.
         let overdue = |(id, held): (&JobId, &Held)| {
             let out = held.out.as_ref().filter(|out| !out.waited && out.share <= LITTLE && !held.over)?;
             let took = (self.now - out.sent).ms();
-            // Of the pool that tells only where the engine speaks: silence is that engine's, or the way's to it.
+            // Of the pool it tells only where the engine speaks: silence is that engine's or the way's.
             let speaks = every.is_none() || out.noted > out.sent;
             (took > PACE_BAD * held.bare).then_some((*id, out.engine, took, speaks))
         };
@@ -1041,9 +1035,8 @@
             self.see_pace(id, engine, took, 0.25, speaks);
         }
         let hopeless = |(id, held): (&JobId, &Held)| self.is_hopeless(held).then_some(*id);
-        for id in self.jobs.iter().filter_map(hopeless).collect::<Vec<_>>() {
-            self.give_up(id);
-        }
+        let hopeless: Vec<JobId> = self.jobs.iter().filter_map(hopeless).collect();
+        hopeless.into_iter().for_each(|id| self.give_up(id));
         let due = every.map_or(Span(i64::MAX), |every| Span::from_ms(2.0 * every) + BEAT.times(2.0));
         let heard = |e: usize| self.engines.get(&e).map_or(self.now, |engine| engine.heard);
         let quiet = |out: &&Out| self.now - out.noted > due && self.now - heard(out.engine) > due;
@@ -1055,19 +1048,17 @@
         }
     }
 
-    /// The thread bound of an engine grows while it is used and its jobs keep their pace, and shrinks when
-    /// they do not. Meets overload, slow machines and anything else that takes an engine past its knee.
+    /// An engine's bound grows while it is used and its jobs keep their pace, and shrinks when they do not.
+    /// Meets overload, slow machines and anything else that takes an engine past its knee.
     fn step_bounds(&mut self) {
         let (now, life, blind) = (self.now, self.pace_life(), self.blind());
         let pool = self.pace.mean_now(now, PACE_OVER, 1.0, PACE_PRIOR);
-        // Likewise for what this gateway has out in all: where loads can't be known, a jam of the whole pool shows
-        // in nothing else. One thread a core of an equal part of the pool is always allowed.
-        let out = self.threads_out();
-        self.most_out = (0.97 * self.most_out).max(out);
+        // Likewise for what this gateway has out in all, for a jam of the whole pool where loads are unknown.
         if pool > PACE_BAD {
-            let least = BOUND_LEAST * THREADS_A_CORE * self.cores / self.gateways;
-            self.part = (self.part.min(self.most_out) * 0.93).max(least);
-        } else if out > 0.7 * self.part {
+            let equal = BOUND_LEAST * THREADS_A_CORE * self.cores / self.gateways;
+            let part = self.part.min(self.at_pace(PACE_GOOD)) * 0.93;
+            self.part = part.max(equal).max(self.at_pace(PACE_LEAST));
+        } else if self.threads_out() > 0.7 * self.part {
             self.part *= 1.05;
         }
         self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
