One engine's known jam neither makes the pool's pace nor holds what goes to the others

A test shows it plainly: two loads stuck at one engine let 39, 14, 0 and 0 of each 40 small jobs of their gateway through.

At fault, src/logic.rs: `see_pace` counts what is stuck at one engine into the pool's pace for as long as it is stuck, and `choose` counts its threads like any. Now an engine known to be past its pace speaks for itself alone, and its threads hold the rest only where all together pass 1.5 times the bound. It could do harm where most engines jam and each gateway knows it: then the bound is 1.5 times what it was.

Tests: two stuck loads (39 of 40 four times now).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,7 @@
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
 const PACE_GOOD: f64 = 1.5; // the bound grows while jobs take at most this multiple of their bare work
 const PACE_LEAST: f64 = 0.7; // and the least for what a gateway has out in all
+const JAMMED: f64 = 1.5; // what may be out with all that is stuck in known jams, over the bound on the rest
 const PACE_TIGHT: f64 = 1.4; // from here on jobs that find no engine under its bound are held
 const PACE_BAD: f64 = 2.0; // and shrinks from here on
 const BOUND_LEAST: f64 = 0.5; // of an equal share of an engine: one thread a core jams nothing
@@ -72,8 +73,7 @@
     jobs: BTreeMap<JobId, Held>,
     waiting: Vec<JobId>,
     placing: bool,
-    /// The last choice found no engine under its bound, whatever the job's tables.
-    no_room: bool,
+    no_room: bool, // the last choice found no engine under its bound
     turns: BTreeMap<u64, VecDeque<JobId>>,
     rests: BTreeMap<u64, Moment>,
     later: BTreeMap<(Moment, u64), Later>,
@@ -89,13 +89,11 @@
     traffic: Traffic,
     /// The least time of a probe by location; rises slowly.
     probe_least: BTreeMap<usize, f64>,
-    /// Probes of pairs that may still be made.
-    asks: f64,
+    asks: f64, // probes of pairs that may still be made
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
     pace: Fading,
-    /// Work sent of late.
-    work: Fading,
+    work: Fading, // sent of late
     /// Own threads out in all, up to which jobs go out in a jam.
     part: f64,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
@@ -158,7 +156,7 @@
         self.finish()
     }
 
-    /// A call to the engine list failed: the old list stands, and the subscription is asked for again.
+    /// A call to the engine list failed: the old list stands and is asked for again.
     pub fn list_refused(&mut self, now: Moment) -> Decided {
         self.now = now;
         if self.settings.text("MembershipMode") == "ask" {
@@ -405,7 +403,7 @@
     /// The rules as far as they do not depend on the engine; `may_go_to` has the rest.
     fn may_go(&self, id: JobId) -> bool {
         let held = &self.jobs[&id];
-        // Rule 1, and no two dispatches of a job at once.
+        // Rule 1, and no two dispatches at once.
         let open = !held.over && held.out.is_none() && self.now < held.ends - self.guard();
         // Rule 5.
         let ordered = held.job.key.filter(|_| self.types[held.job.reservation].ordered);
@@ -694,10 +692,12 @@
         // A cold engine that is this gateway's turn comes first: no other may send there now.
         let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
-        // Jobs out are the work that comes times pace: too many are a jam that other signs show later. The
-        // bound is on the warm pool: a cold engine's budget is its own.
-        let widest = self.types.iter().map(|kind| kind.threads).fold(1.0, f64::max);
-        let full = blind && self.threads_out() >= self.part.min(self.at_pace(PACE_GOOD) + widest);
+        // Jobs out are the work that comes times pace: too many are a jam that other signs show late. What is
+        // stuck in known jams holds the rest less, and nothing from a cold engine, whose budget is its own.
+        let widest = self.types.iter().fold(1.0, |most: f64, kind| most.max(kind.threads));
+        let most = self.part.min(self.at_pace(PACE_GOOD) + widest);
+        let well = self.engines.values().filter(|e| !past(e)).map(|engine| engine.threads).sum::<f64>();
+        let full = blind && (well >= most || self.threads_out() >= JAMMED * most);
         let walk = (first..order.len())
             .map(|at| order[if kind.holds { order.len() - 1 - at } else { (at + turned) % order.len() }]);
         for e in turns.iter().copied().chain(walk.filter(|e| !full && !turns.contains(e))) {
@@ -868,7 +868,7 @@
                 }
             }
             Verdict::Unreachable | Verdict::Broken if !outcome.lively => {
-                // One broken connection among many answers is no reason to lose an engine; two in a row are.
+                // One broken connection is no reason to lose an engine; two in a row are.
                 engine.strikes += 1;
                 if engine.strikes > 1 || engine.on_trial {
                     self.shun(out.engine);
@@ -897,14 +897,14 @@
         // A gateway that begins in a jam believes told costs: no job comes back to show their calm pace.
         let Some(calm) = kind.calm.or((blind && weight < 1.0).then_some(1.0)) else { return };
         let pace = took / bare / calm;
-        if of_pool {
-            self.pace.add(self.now, PACE_OVER, pace.min(PACE_CLIP), bare * weight);
-        }
         // A small job that is stuck for seconds says as much of its engine as a large one does.
         let most = PACE_CLIP * (PACE_PRIOR / bare).max(1.0);
-        if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.pace.add(self.now, life, pace.min(most), bare * weight);
+        let Some(engine) = self.engines.get_mut(&engine) else { return };
+        // What is known of an engine's jam is that engine's: the pool is what jobs meet elsewhere.
+        if of_pool && !(blind && engine.pace_at(self.now, life, PACE_PRIOR) > PACE_BAD) {
+            self.pace.add(self.now, PACE_OVER, pace.min(PACE_CLIP), bare * weight);
         }
+        engine.pace.add(self.now, life, pace.min(most), bare * weight);
     }
 
     /// Leaves an engine alone, twice as long if that was not long ago, then on trial, one job at a time until
