--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -698,6 +698,27 @@
     expect!["50 sent, 1 out, 67 sent, 3 out, 300 sent, 1 out"].assert_eq(&seen.join(", "));
 }
 
+/// An equal part of the pool is little for a gateway with more than its share of the traffic: in a long jam it keeps
+/// seven tenths of the work that comes to it out, not one thread a core of an equal part.
+#[test]
+fn a_busy_gateway_keeps_its_part_in_a_jam() {
+    let mut desk = Desk::new(&[MANY[0], MANY[1], ("Deductions.Probe", 1.0), ("Classes.0.Aim", 30000.0)], 12);
+    (desk.left, desk.field, desk.told) = (60000.0, "load_share", vec![0.2; 12]);
+    let (mut out, mut read): (Vec<(f64, u32)>, _) = (Vec::new(), 0);
+    for job in 0..600 {
+        desk.take(LOOKUP, job, None);
+        desk.pass(20.0);
+        let now = desk.now;
+        let sends = desk.trace[read..].split("send ").skip(1).map(|rest| rest.split(' ').next().unwrap());
+        out.extend(sends.map(|job| (now, job.parse().unwrap())));
+        read = desk.trace.len();
+        let (back, still): (Vec<_>, Vec<_>) = out.into_iter().partition(|(sent, _)| now - sent >= 1000.0);
+        out = still;
+        back.into_iter().for_each(|(sent, job)| desk.settle(job, 0, Verdict::Done, now - sent));
+    }
+    expect!["7 out"].assert_eq(&format!("{} out", out.len()));
+}
+
 /// Large jobs that are stuck at one engine are that engine's matter: the others get as many jobs as before.
 #[test]
 fn one_engines_jam_does_not_shrink_what_goes_to_the_others() {
