--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -1,10 +1,10 @@
 //! A job's life, from the client's request to its answer.
 
-use crate::desk::{Desk, Step};
 use crate::memory::budget::Lease;
 use crate::memory::clients::{Client, Name};
 use crate::memory::counts;
-use crate::memory::engines::{Heard, Out, Request};
+use crate::memory::engines::{DispatchEvent, Out, Request};
+use crate::module::{Module, Step};
 use crate::service::clock;
 use crate::wire::client::Reply;
 use crate::wire::engine::Word;
@@ -22,7 +22,7 @@
 const MOST_PAGES: u32 = 4096;
 const AHEAD: u32 = 8;
 
-pub struct Life {
+pub struct JobTask {
     pub id: JobId,
     pub steps: Receiver<Step>,
     pub message: u32,
@@ -32,7 +32,7 @@
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
     pub client: Arc<Client>,
-    pub desk: Arc<Desk>,
+    pub module: Arc<Module>,
     /// The bytes that the job may keep.
     pub lease: Lease,
 }
@@ -58,8 +58,8 @@
     report: Report,
 }
 
-impl Life {
-    pub fn live(mut self) {
+impl JobTask {
+    pub fn run(mut self) {
         let mut running: Option<Running> = None;
         let mut result = Vec::new();
         loop {
@@ -102,26 +102,26 @@
                 recv(words) -> heard => {
                     let Some(mut at) = running.take() else { continue };
                     match heard {
-                        Ok(Heard::Word(Word::Info(note))) => {
-                            note.into_iter().for_each(|note| self.desk.progress(self.id, at.copy, note));
+                        Ok(DispatchEvent::Word(Word::Info(note))) => {
+                            note.into_iter().for_each(|note| self.module.progress(self.id, at.copy, note));
                             running = Some(at);
                         }
-                        Ok(Heard::Word(Word::Hit { page, sheets, bill, report })) => {
+                        Ok(DispatchEvent::Word(Word::Hit { page, sheets, bill, report })) => {
                             let bill = bill.map(|(work, memory)| (Span::from_ms(work), memory));
                             at.result = Some(Pages::begin(page, sheets, bill, report));
                             running = self.collect(at, &mut result);
                         }
-                        Ok(Heard::Word(Word::Part { page, sheet })) => {
+                        Ok(DispatchEvent::Word(Word::Part { page, sheet })) => {
                             if let Some(pages) = &mut at.result {
                                 pages.add(page, sheet);
                             }
                             running = self.collect(at, &mut result);
                         }
-                        Ok(Heard::Word(Word::Shed(report))) => self.settle(at, Verdict::Full, None, report),
-                        Ok(Heard::Word(Word::Late(report))) => self.settle(at, Verdict::Void, None, report),
-                        Ok(Heard::Word(Word::Fault(report))) => self.settle(at, Verdict::Error, None, report),
-                        Ok(Heard::Lost(verdict, lively)) => self.end(at, verdict, lively, None, Report::new()),
-                        Ok(Heard::Word(Word::Pong(_) | Word::Sick(_))) => running = Some(at),
+                        Ok(DispatchEvent::Word(Word::Shed(report))) => self.settle(at, Verdict::Full, None, report),
+                        Ok(DispatchEvent::Word(Word::Late(report))) => self.settle(at, Verdict::Void, None, report),
+                        Ok(DispatchEvent::Word(Word::Fault(report))) => self.settle(at, Verdict::Error, None, report),
+                        Ok(DispatchEvent::Lost(verdict, lively)) => self.end(at, verdict, lively, None, Report::new()),
+                        Ok(DispatchEvent::Word(Word::Pong(_) | Word::Sick(_))) => running = Some(at),
                         Err(_) => self.settle(at, Verdict::Broken, None, Report::new()),
                     }
                 },
@@ -177,7 +177,7 @@
             std::thread::sleep(READ);
         }
         drop(at);
-        self.desk.settle(self.id, copy, Outcome { verdict, took, over: false, lively, bill, report });
+        self.module.settle(self.id, copy, Outcome { verdict, took, over: false, lively, bill, report });
     }
 }
 
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,16 +1,16 @@
 //! The workload manager: the decision module on sockets. It reads its configuration, tells the module what
 //! engines are known, listens to clients and to the event bus, and ends when it is told to.
 
-mod desk;
 mod job;
 mod memory;
+mod module;
 mod service;
 mod wire;
 
 use memory::budget::{Budget, Shares};
 use memory::owners::Owners;
 use service::config::Config;
-use service::{bus, clients, clock, reload, stop};
+use service::{bus, clients, clock, reload, shutdown};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::TcpListener;
@@ -59,24 +59,28 @@
     let shares = Shares::of(config.limits);
     let (sockets, terms) = (Budget::new(shares.engines), config.terms(shares.engine));
     let owners = Owners::start(terms, sockets, clock::now).map_err(cannot("start the engines' thread"))?;
-    let desk =
-        desk::Desk::start(config.settings.clone(), config.seed, std::mem::take(&mut config.known), owners)
-            .map_err(cannot("start the module's thread"))?;
-    let health = Arc::new(stop::Health::default());
-    let door = clients::Door::new(desk.clone(), health.clone(), types, &shares);
+    let module = module::Module::start(
+        config.settings.clone(),
+        config.seed,
+        std::mem::take(&mut config.known),
+        owners,
+    )
+    .map_err(cannot("start the module's thread"))?;
+    let health = Arc::new(shutdown::Health::default());
+    let shared = clients::Shared::new(module.clone(), health.clone(), types, &shares);
     let listener = TcpListener::bind(config.listen)
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
     let listens = listener.local_addr().map_err(cannot("listen"))?;
-    let clients = clients::Clients::new(door, listener).map_err(cannot("listen"))?;
+    let clients = clients::Acceptor::new(shared, listener).map_err(cannot("listen"))?;
     thread("clients", STACK, move || clients.run()).map_err(cannot("start a thread"))?;
     let bus = Arc::new(bus::Bus::new(config.bus));
-    let (follower, teller, offset, seed) = (bus.clone(), desk.clone(), config.offset, config.seed);
+    let (follower, teller, offset, seed) = (bus.clone(), module.clone(), config.offset, config.seed);
     thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
         .map_err(cannot("start a thread"))?;
     tracing::info!("{} listens on {listens}", config.name);
     while signals.forever().next() == Some(SIGHUP) {
         reload::reload(&mut config, Config::read(environment), &bus);
     }
-    stop::drain(&desk, &health, config.longest_wait());
+    shutdown::drain(&module, &health, config.longest_wait());
     Ok(())
 }
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -8,7 +8,7 @@
 use super::budget::{Budget, Lease};
 use super::counts;
 use super::owners::Owners;
-use super::readers::{Ear, Readers, Told};
+use super::readers::{ConnectionEvent, ReadHalf, Readers};
 use crate::wire::engine::{self as wire, Word};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use pebblevane::interface::*;
@@ -60,7 +60,7 @@
 
 /// What a job hears of its dispatch.
 #[derive(Debug)]
-pub enum Heard {
+pub enum DispatchEvent {
     Word(Word),
     /// The dispatch ended with its connection, or never had one; and whether the engine has taken a new
     /// connection since.
@@ -86,7 +86,7 @@
         number: u64,
         request: Request,
         gate: Arc<Gate>,
-        words: Sender<Heard>,
+        words: Sender<DispatchEvent>,
     },
     Probe {
         number: u64,
@@ -102,9 +102,9 @@
         done: Option<Sender<()>>,
     },
     Dialed(Result<(TcpStream, Lease), String>),
-    Told {
+    Connection {
         connection: u64,
-        told: Told,
+        told: ConnectionEvent,
     },
     /// The list has told something, of whichever engine.
     Look,
@@ -134,7 +134,7 @@
     number: u64,
     engine: Arc<Engine>,
     gate: Arc<Gate>,
-    pub words: Receiver<Heard>,
+    pub words: Receiver<DispatchEvent>,
 }
 
 impl Engine {
@@ -222,7 +222,7 @@
     waiting: VecDeque<u64>,
     dialing: usize,
     /// What ended with its connection, until it shows whether the engine takes a new one.
-    doubtful: Vec<Sender<Heard>>,
+    doubtful: Vec<Sender<DispatchEvent>>,
     connections: BTreeMap<u64, Connection>,
     opened: u64,
     gone: bool,
@@ -252,7 +252,7 @@
 }
 
 enum What {
-    Dispatch { request: Request, gate: Arc<Gate>, words: Sender<Heard> },
+    Dispatch { request: Request, gate: Arc<Gate>, words: Sender<DispatchEvent> },
     Probe(Option<Probed>),
 }
 
@@ -372,11 +372,13 @@
                 drop(done);
             }
             Order::Dialed(dialed) => self.dialed(dialed, means),
-            Order::Told { connection, told: Told::Word(id, word, at) } => {
+            Order::Connection { connection, told: ConnectionEvent::Word(id, word, at) } => {
                 self.heard(connection, &id, word, at)
             }
             Order::Look => {}
-            Order::Told { connection, told: Told::Ended(why) } => self.lost(connection, &why, means),
+            Order::Connection { connection, told: ConnectionEvent::Ended(why) } => {
+                self.lost(connection, &why, means)
+            }
         }
         // Whatever has come to an end may have left a connection to what waits.
         self.assign_waiting(means);
@@ -534,7 +536,7 @@
         self.dialing -= 1;
         let taken = dialed.is_ok();
         for words in std::mem::take(&mut self.doubtful) {
-            let _ = words.try_send(Heard::Lost(Verdict::Broken, taken));
+            let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, taken));
         }
         let connected = dialed.and_then(|(stream, lease)| {
             self.connect(stream, lease, means).map_err(|e| format!("it can't be read: {e}"))
@@ -556,8 +558,8 @@
         let stream = Arc::new(stream);
         self.opened += 1;
         let (key, connection, orders) = (self.key, self.opened, means.orders.clone());
-        let tell = Box::new(move |told| drop(orders.send((key, Order::Told { connection, told }))));
-        means.readers.add(Ear::new(stream.clone(), means.terms.dial, tell))?;
+        let tell = Box::new(move |told| drop(orders.send((key, Order::Connection { connection, told }))));
+        means.readers.add(ReadHalf::new(stream.clone(), means.terms.dial, tell))?;
         let connection = Connection {
             stream,
             ids: HashMap::new(),
@@ -608,7 +610,7 @@
                 };
                 let done = matches!(word, Word::Hit { .. });
                 // A job that can't keep up with a flood of notes misses some; its own time-out ends it.
-                if words.try_send(Heard::Word(word)).is_err() {
+                if words.try_send(DispatchEvent::Word(word)).is_err() {
                     counts::STRAY_WORDS.add();
                 }
                 if ends {
@@ -669,7 +671,7 @@
         match entry.what {
             What::Dispatch { words, .. } => {
                 if entry.connection.is_none() {
-                    let _ = words.try_send(Heard::Lost(Verdict::Unreachable, false));
+                    let _ = words.try_send(DispatchEvent::Lost(Verdict::Unreachable, false));
                 } else {
                     self.doubtful.push(words);
                 }
@@ -701,7 +703,7 @@
         // A process that has died takes no new connection: that tells its end from a connection's.
         if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once(means) {
             for words in std::mem::take(&mut self.doubtful) {
-                let _ = words.try_send(Heard::Lost(Verdict::Broken, false));
+                let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, false));
             }
         }
     }
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -3,7 +3,7 @@
 
 use super::budget::Budget;
 use super::counts;
-use super::engines::{Heard, Means, News, Order, Owner, Terms};
+use super::engines::{DispatchEvent, Means, News, Order, Owner, Terms};
 use super::readers::Readers;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use pebblevane::interface::*;
@@ -129,7 +129,9 @@
         }
         // The engine has gone: what is ordered now never leaves.
         match order {
-            Order::Send { words, .. } => drop(words.try_send(Heard::Lost(Verdict::Unreachable, false))),
+            Order::Send { words, .. } => {
+                drop(words.try_send(DispatchEvent::Lost(Verdict::Unreachable, false)))
+            }
             Order::Probe { told, .. } => told(Verdict::Unreachable, Report::new(), Span::default()),
             _ => {}
         }
--- a/crates/server/src/memory/readers.rs
+++ b/crates/server/src/memory/readers.rs
@@ -20,25 +20,29 @@
 const KEPT: usize = 4096; // bytes for an unfinished answer that a connection keeps when it has none
 
 /// What a connection's owner is told.
-pub enum Told {
+pub enum ConnectionEvent {
     /// A word, under its id, and when it was read.
     Word(String, Word, Instant),
     Ended(String),
 }
 
 /// A connection that is listened to.
-pub struct Ear {
+pub struct ReadHalf {
     stream: Arc<TcpStream>,
     /// An answer that stops in the middle for so long won't go on.
     stall: Duration,
-    tell: Box<dyn Fn(Told) + Send>,
+    tell: Box<dyn Fn(ConnectionEvent) + Send>,
     bytes: Vec<u8>,
     since: Instant,
 }
 
-impl Ear {
-    pub fn new(stream: Arc<TcpStream>, stall: Duration, tell: Box<dyn Fn(Told) + Send>) -> Ear {
-        Ear { stream, stall, tell, bytes: Vec::new(), since: Instant::now() }
+impl ReadHalf {
+    pub fn new(
+        stream: Arc<TcpStream>,
+        stall: Duration,
+        tell: Box<dyn Fn(ConnectionEvent) + Send>,
+    ) -> ReadHalf {
+        ReadHalf { stream, stall, tell, bytes: Vec::new(), since: Instant::now() }
     }
 
     /// Reads what is there; says whether more may be.
@@ -56,7 +60,7 @@
             let mut done = 0;
             while let Some((length, id, word)) = wire::next(&self.bytes[done..])? {
                 done += length;
-                (self.tell)(Told::Word(id, word, since));
+                (self.tell)(ConnectionEvent::Word(id, word, since));
             }
             self.bytes.drain(..done);
             if self.bytes.is_empty() {
@@ -74,7 +78,7 @@
 
 /// The way to the thread that reads.
 pub struct Readers {
-    new: Sender<Ear>,
+    new: Sender<ReadHalf>,
     waker: Waker,
 }
 
@@ -87,46 +91,46 @@
         Ok(Arc::new(Readers { new, waker }))
     }
 
-    pub fn add(&self, ear: Ear) -> std::io::Result<()> {
-        self.new.try_send(ear).map_err(|_| std::io::Error::other("too many wait to be read"))?;
+    pub fn add(&self, half: ReadHalf) -> std::io::Result<()> {
+        self.new.try_send(half).map_err(|_| std::io::Error::other("too many wait to be read"))?;
         self.waker.wake()
     }
 }
 
-fn listen(mut poll: Poll, added: &Receiver<Ear>) {
-    let mut ears: HashMap<usize, Ear> = HashMap::new();
+fn listen(mut poll: Poll, added: &Receiver<ReadHalf>) {
+    let mut halves: HashMap<usize, ReadHalf> = HashMap::new();
     let (mut events, mut piece, mut numbers) = (Events::with_capacity(EVENTS), vec![0; PIECE], 0..);
     loop {
-        let due = ears.values().filter_map(Ear::left).min();
+        let due = halves.values().filter_map(ReadHalf::left).min();
         // An interrupted wait is one without events.
         let _ = poll.poll(&mut events, due);
-        for ear in added.try_iter() {
-            let fd = ear.stream.as_raw_fd();
+        for half in added.try_iter() {
+            let fd = half.stream.as_raw_fd();
             let number = numbers.next().expect("numbers do not end");
             match poll.registry().register(&mut SourceFd(&fd), Token(number), Interest::READABLE) {
-                Ok(()) => drop(ears.insert(number, ear)),
-                Err(e) => (ear.tell)(Told::Ended(e.to_string())),
+                Ok(()) => drop(halves.insert(number, half)),
+                Err(e) => (half.tell)(ConnectionEvent::Ended(e.to_string())),
             }
         }
         let mut ended = Vec::new();
         for number in events.iter().map(|event| event.token().0) {
-            let Some(ear) = ears.get_mut(&number) else { continue };
-            match ear.read(&mut piece) {
+            let Some(half) = halves.get_mut(&number) else { continue };
+            match half.read(&mut piece) {
                 Ok(false) => {}
                 Ok(true) => {
                     // Whatever more is there is told by a new event.
-                    let fd = ear.stream.as_raw_fd();
+                    let fd = half.stream.as_raw_fd();
                     let _ = poll.registry().reregister(&mut SourceFd(&fd), Token(number), Interest::READABLE);
                 }
                 Err(why) => ended.push((number, why)),
             }
         }
-        let stalled = ears.iter().filter(|(_, ear)| ear.left().is_some_and(|left| left.is_zero()));
+        let stalled = halves.iter().filter(|(_, half)| half.left().is_some_and(|left| left.is_zero()));
         ended.extend(stalled.map(|(number, _)| (*number, "an answer stopped in the middle".to_string())));
         for (number, why) in ended {
-            if let Some(ear) = ears.remove(&number) {
-                let _ = poll.registry().deregister(&mut SourceFd(&ear.stream.as_raw_fd()));
-                (ear.tell)(Told::Ended(why));
+            if let Some(half) = halves.remove(&number) {
+                let _ = poll.registry().deregister(&mut SourceFd(&half.stream.as_raw_fd()));
+                (half.tell)(ConnectionEvent::Ended(why));
             }
         }
     }
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/module.rs
@@ -50,34 +50,34 @@
 }
 
 /// The way to the module's thread.
-pub struct Desk {
+pub struct Module {
     calls: Sender<Call>,
     next: Mutex<u32>,
     /// Jobs taken and not yet released.
     pub open: AtomicUsize,
 }
 
-impl Desk {
+impl Module {
     /// Starts the module's thread; the module has been told of `known` before this returns.
     pub fn start(
         settings: Settings,
         seed: u64,
         known: Vec<Event>,
         owners: Arc<Owners>,
-    ) -> std::io::Result<Arc<Desk>> {
+    ) -> std::io::Result<Arc<Module>> {
         let (calls, inbox) = bounded(CALLS);
         let (ready, started) = bounded(1);
-        let desk = Arc::new(Desk { calls, next: Mutex::default(), open: AtomicUsize::new(0) });
-        let handle = desk.clone();
+        let handle = Arc::new(Module { calls, next: Mutex::default(), open: AtomicUsize::new(0) });
+        let own = handle.clone();
         crate::thread("module", MODULE_STACK, move || {
             let names = |list: &str| -> Vec<String> {
                 let named = (0..).map(|i| settings.text(&format!("{list}.{i}")).to_string());
                 named.take_while(|name| !name.is_empty()).collect()
             };
             let (zones, machines) = (names("Zones"), names("Flavors"));
-            let mut owner = Owner {
+            let mut owner = ModuleThread {
                 logic: Logic::new(clock::now(), seed, settings),
-                desk: handle,
+                handle: own,
                 wake: None,
                 jobs: BTreeMap::new(),
                 numbers: Engines::default(),
@@ -91,7 +91,7 @@
             owner.run(&inbox);
         })?;
         let _ = started.recv();
-        Ok(desk)
+        Ok(handle)
     }
 
     /// Hands a job over. Jobs are numbered in the order in which the module hears of them.
@@ -130,17 +130,17 @@
 }
 
 /// What the module's thread keeps of a job.
-struct Open {
+struct OpenJob {
     steps: Sender<Step>,
     answered: bool,
     copies: u32,
 }
 
-struct Owner {
+struct ModuleThread {
     logic: Logic,
-    desk: Arc<Desk>,
+    handle: Arc<Module>,
     wake: Option<Moment>,
-    jobs: BTreeMap<JobId, Open>,
+    jobs: BTreeMap<JobId, OpenJob>,
     numbers: Engines,
     engines: BTreeMap<EngineId, Known>,
     zones: Vec<String>,
@@ -155,7 +155,7 @@
     stage: Stage,
 }
 
-impl Owner {
+impl ModuleThread {
     fn run(mut self, inbox: &Receiver<Call>) {
         loop {
             let call = match self.wake {
@@ -181,7 +181,7 @@
         let decided = match call {
             Call::Take { id, mut job, arrived, steps } => {
                 job.left = job.left + (arrived - now);
-                self.jobs.insert(id, Open { steps, answered: false, copies: 0 });
+                self.jobs.insert(id, OpenJob { steps, answered: false, copies: 0 });
                 self.logic.take(now, id, job)
             }
             Call::Settle { id, copy, mut outcome } => {
@@ -242,7 +242,7 @@
         for id in decided.released {
             if let Some(open) = self.jobs.remove(&id) {
                 open.tell(Step::Released);
-                self.desk.open.fetch_sub(1, SeqCst);
+                self.handle.open.fetch_sub(1, SeqCst);
             }
         }
         decided.forgotten.into_iter().for_each(|engine| self.numbers.forget(engine));
@@ -258,9 +258,9 @@
             bill: None,
             report,
         };
-        let desk = self.desk.clone();
+        let handle = self.handle.clone();
         let told = move |verdict: Verdict, report: Report, took: Span| {
-            desk.call(Call::Probed { engine: id, outcome: outcome(verdict, report, took) });
+            handle.call(Call::Probed { engine: id, outcome: outcome(verdict, report, took) });
         };
         let taken = self.engines.get(&id).is_some_and(|known| known.engine.probe(Box::new(told)));
         if !taken {
@@ -351,7 +351,7 @@
     }
 }
 
-impl Open {
+impl OpenJob {
     /// The channel holds more steps than a job can have; a job whose thread has ended wants none.
     fn tell(&self, step: Step) {
         if self.steps.try_send(step).is_err() {
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -1,8 +1,8 @@
 //! Follows the event bus: connects, asks for what comes after the last event it has, and reads on. A gap, a
 //! connection that falls silent or one that ends leads to a new one, and so does a new address.
 
-use crate::desk::Desk;
 use crate::memory::counts;
+use crate::module::Module;
 use crate::wire::bus::{self, Line};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use std::io::{BufRead, BufReader, ErrorKind, Write};
@@ -62,15 +62,15 @@
         Ok(stream)
     }
 
-    pub fn follow(&self, desk: &Desk, mut last: u64, seed: u64) {
+    pub fn follow(&self, module: &Module, mut last: u64, seed: u64) {
         let mut spread = seed | 1;
         let (mut pause, mut gap) = (PAUSE_MS, None);
         loop {
             let (before, begun) = (last, Instant::now());
-            let why = listen(desk, self.connect(last), &mut last, &mut gap);
+            let why = listen(module, self.connect(last), &mut last, &mut gap);
             self.at().stream = None;
             tracing::info!("event bus: {why}; the last event is {last}");
-            desk.list_lost();
+            module.list_lost();
             // A connection that served for a while is made anew at once: what it would have told counts as told soon.
             let served = last > before || begun.elapsed() > SILENCE;
             pause = if served { PAUSE_MS } else { (pause * 2).min(LONGEST_PAUSE_MS) };
@@ -115,7 +115,7 @@
 
 /// Reads one connection to its end; says why it ended.
 fn listen(
-    desk: &Desk,
+    module: &Module,
     connected: std::io::Result<TcpStream>,
     last: &mut u64,
     gap: &mut Option<u64>,
@@ -145,7 +145,7 @@
                     counts::ODD_EVENTS.add();
                     tracing::warn!("event bus: an entry of event {last} is passed over: {why}");
                 }
-                desk.listed(event);
+                module.listed(event);
             }
             Err(why) => {
                 counts::ODD_EVENTS.add();
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -1,12 +1,12 @@
 //! Accepts client connections and reads what comes on each.
 
-use crate::desk::Desk;
-use crate::job::{Life, USUAL_RESULT};
+use crate::job::{JobTask, USUAL_RESULT};
 use crate::memory::budget::{Budget, Lease, Shares};
 use crate::memory::clients::{Client, Names};
 use crate::memory::counts;
+use crate::module::Module;
 use crate::service::clock;
-use crate::service::stop::Health;
+use crate::service::shutdown::Health;
 use crate::wire::client::{self as wire, Ask, Frame, Message, Reply};
 use crate::wire::sql;
 use crossbeam_channel::{Sender, bounded};
@@ -43,8 +43,8 @@
 const BOTH: Interest = Interest::READABLE.add(Interest::WRITABLE);
 
 /// What all client connections share.
-pub struct Door {
-    pub desk: Arc<Desk>,
+pub struct Shared {
+    pub module: Arc<Module>,
     pub health: Arc<Health>,
     pub types: Vec<String>,
     pub classes: Vec<Arc<str>>,
@@ -55,10 +55,10 @@
     pub jobs: Arc<Budget>,
 }
 
-impl Door {
-    pub fn new(desk: Arc<Desk>, health: Arc<Health>, types: Vec<String>, shares: &Shares) -> Door {
-        Door {
-            desk,
+impl Shared {
+    pub fn new(module: Arc<Module>, health: Arc<Health>, types: Vec<String>, shares: &Shares) -> Shared {
+        Shared {
+            module,
             health,
             classes: types.iter().map(|name| name.as_str().into()).collect(),
             types,
@@ -71,13 +71,13 @@
 }
 
 /// The thread that accepts and reads all client connections.
-pub struct Clients {
-    door: Door,
+pub struct Acceptor {
+    shared: Shared,
     poll: Poll,
     listener: TcpListener,
     /// New connections wait for room.
     crowded: bool,
-    all: HashMap<usize, Ear>,
+    all: HashMap<usize, Connection>,
     /// Those of which nothing is read for a while.
     paused: Vec<usize>,
     numbers: std::ops::RangeFrom<usize>,
@@ -85,7 +85,7 @@
 }
 
 /// A connection as far as it has been read.
-struct Ear {
+struct Connection {
     client: Arc<Client>,
     bytes: Vec<u8>,
     held: Lease,
@@ -96,13 +96,13 @@
     pauses_until: Option<Instant>,
 }
 
-impl Clients {
-    pub fn new(door: Door, listener: TcpListener) -> std::io::Result<Clients> {
+impl Acceptor {
+    pub fn new(shared: Shared, listener: TcpListener) -> std::io::Result<Acceptor> {
         let poll = Poll::new()?;
         listener.set_nonblocking(true)?;
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER, Interest::READABLE)?;
-        Ok(Clients {
-            door,
+        Ok(Acceptor {
+            shared,
             poll,
             listener,
             crowded: false,
@@ -117,7 +117,7 @@
         let mut events = Events::with_capacity(EVENTS);
         let (mut swept, mut counted) = (Instant::now(), Instant::now());
         loop {
-            let until = |number: &usize| self.all.get(number).and_then(|ear| ear.pauses_until);
+            let until = |number: &usize| self.all.get(number).and_then(|connection| connection.pauses_until);
             let pauses = self.paused.iter().filter_map(until);
             let pauses = pauses.map(|until| until.saturating_duration_since(Instant::now())).min();
             let wait = if self.crowded { CROWDED } else { SWEEP };
@@ -132,10 +132,10 @@
             }
             let (all, now) = (&mut self.all, Instant::now());
             self.paused.retain(|number| {
-                let Some(ear) = all.get_mut(number) else { return false };
-                let over = ear.pauses_until.is_none_or(|until| until <= now);
+                let Some(connection) = all.get_mut(number) else { return false };
+                let over = connection.pauses_until.is_none_or(|until| until <= now);
                 if over {
-                    ear.pauses_until = None;
+                    connection.pauses_until = None;
                     ready.push(*number);
                 }
                 !over
@@ -158,9 +158,9 @@
     fn accept(&mut self) {
         self.crowded = false;
         loop {
-            let lease = self.door.sockets.lease(1).or_else(|| {
+            let lease = self.shared.sockets.lease(1).or_else(|| {
                 self.make_room();
-                self.door.sockets.lease(1)
+                self.shared.sockets.lease(1)
             });
             let Some(lease) = lease else {
                 self.crowded = true;
@@ -184,26 +184,30 @@
     fn enter(&mut self, stream: TcpStream, lease: Lease) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_nonblocking(true)?;
-        let none = || self.door.bytes.lease(0).ok_or(ErrorKind::OutOfMemory);
+        let none = || self.shared.bytes.lease(0).ok_or(ErrorKind::OutOfMemory);
         let (held, out) = (none()?, none()?);
         let number = self.numbers.next().expect("numbers do not end");
         self.poll.registry().register(&mut SourceFd(&stream.as_raw_fd()), Token(number), BOTH)?;
         let client = Arc::new(Client::new(stream, lease, out));
         let owes = Some(Instant::now());
-        let ear = Ear { client, bytes: Vec::new(), held, owes, useless: 0, pauses_until: None };
-        self.all.insert(number, ear);
+        let connection = Connection { client, bytes: Vec::new(), held, owes, useless: 0, pauses_until: None };
+        self.all.insert(number, connection);
         Ok(())
     }
 
     /// Reads what is there and deals with it.
     fn read(&mut self, number: usize) {
-        let Some(ear) = self.all.get_mut(&number).filter(|ear| ear.pauses_until.is_none()) else { return };
-        ear.client.flush();
-        match ear.read(&self.door, &mut self.piece) {
-            Ok(false) => self.paused.extend(ear.pauses_until.map(|_| number)),
+        let Some(connection) =
+            self.all.get_mut(&number).filter(|connection| connection.pauses_until.is_none())
+        else {
+            return;
+        };
+        connection.client.flush();
+        match connection.read(&self.shared, &mut self.piece) {
+            Ok(false) => self.paused.extend(connection.pauses_until.map(|_| number)),
             Ok(true) => {
                 // Whatever more is there is told by a new event.
-                let fd = ear.client.stream.as_raw_fd();
+                let fd = connection.client.stream.as_raw_fd();
                 let _ = self.poll.registry().reregister(&mut SourceFd(&fd), Token(number), BOTH);
             }
             Err(why) => self.end(number, &why),
@@ -211,20 +215,20 @@
     }
 
     fn end(&mut self, number: usize, why: &str) {
-        let Some(ear) = self.all.remove(&number) else { return };
+        let Some(connection) = self.all.remove(&number) else { return };
         tracing::debug!("clients: a connection ended: {why}");
-        let _ = self.poll.registry().deregister(&mut SourceFd(&ear.client.stream.as_raw_fd()));
-        for job in ear.client.leave() {
+        let _ = self.poll.registry().deregister(&mut SourceFd(&connection.client.stream.as_raw_fd()));
+        for job in connection.client.leave() {
             counts::LEFT.add();
-            self.door.desk.gone(job);
+            self.shared.module.gone(job);
         }
     }
 
     /// Ends connections that are of no use any more, and those that don't take their answers.
     fn sweep(&mut self) {
-        let useless = self.all.iter().filter(|(_, ear)| {
-            ear.client.flush();
-            ear.useless_for(MESSAGE, IDLE).is_some()
+        let useless = self.all.iter().filter(|(_, connection)| {
+            connection.client.flush();
+            connection.useless_for(MESSAGE, IDLE).is_some()
         });
         for number in useless.map(|(number, _)| *number).collect::<Vec<usize>>() {
             self.end(number, "idle, or a message that does not come to its end");
@@ -234,8 +238,10 @@
     /// At the limit the connections that owe a message make room, then those that rest, the longest first, some
     /// at a time: looking through all for each new one would take the core from the others when hundreds come.
     fn make_room(&mut self) {
-        let rank = |ear: &Ear| Some((ear.owes.is_some(), ear.useless_for(SILENT, RESTING)?));
-        let useless = self.all.iter().filter_map(|(number, ear)| Some((rank(ear)?, *number)));
+        let rank = |connection: &Connection| {
+            Some((connection.owes.is_some(), connection.useless_for(SILENT, RESTING)?))
+        };
+        let useless = self.all.iter().filter_map(|(number, connection)| Some((rank(connection)?, *number)));
         let mut useless: Vec<((bool, Duration), usize)> = useless.collect();
         useless.sort_unstable_by(|a, b| b.cmp(a));
         for (_, number) in useless.into_iter().take(ROOM) {
@@ -245,7 +251,7 @@
     }
 }
 
-impl Ear {
+impl Connection {
     /// How long it has been of no use, if longer than it may owe a message, or be idle.
     fn useless_for(&self, owing: Duration, idle: Duration) -> Option<Duration> {
         let idle_for = self.client.idle_for()?;
@@ -256,7 +262,7 @@
     }
 
     /// Says whether more may be there.
-    fn read(&mut self, door: &Door, piece: &mut [u8]) -> Result<bool, String> {
+    fn read(&mut self, shared: &Shared, piece: &mut [u8]) -> Result<bool, String> {
         for _ in 0..TURN {
             let count = match (&self.client.stream).read(piece) {
                 Ok(0) => return Err("the client closed it".to_string()),
@@ -268,7 +274,7 @@
             self.client.speaks();
             self.bytes.extend_from_slice(&piece[..count]);
             let useless = self.useless;
-            self.deal(door)?;
+            self.handle_buffered(shared)?;
             if self.useless > useless {
                 // Whoever sends what is of no use at full speed waits; nobody else does.
                 self.pauses_until = Some(Instant::now() + PAUSE * self.useless.min(LONGEST_PAUSE));
@@ -279,16 +285,20 @@
     }
 
     /// Deals with all messages that have come whole.
-    fn deal(&mut self, door: &Door) -> Result<(), String> {
+    fn handle_buffered(&mut self, shared: &Shared) -> Result<(), String> {
         let arrived = clock::now();
         let mut done = 0;
         loop {
             match wire::frame(&self.bytes[done..]) {
                 Frame::Whole(length) => {
-                    let message = wire::decode(&self.bytes[done..done + length], &door.types);
+                    let message = wire::decode(&self.bytes[done..done + length], &shared.types);
                     done += length;
-                    let used =
-                        hear(door, &self.client, message.ok_or("a message of another protocol")?, arrived)?;
+                    let used = handle(
+                        shared,
+                        &self.client,
+                        message.ok_or("a message of another protocol")?,
+                        arrived,
+                    )?;
                     self.useless = if used { 0 } else { self.useless + 1 };
                 }
                 Frame::Partial => break,
@@ -313,7 +323,7 @@
 }
 
 /// Deals with one message; says whether it was of use.
-fn hear(door: &Door, client: &Arc<Client>, message: Message, arrived: Moment) -> Result<bool, String> {
+fn handle(shared: &Shared, client: &Arc<Client>, message: Message, arrived: Moment) -> Result<bool, String> {
     // Whatever were answered under the number of an open request would be taken for that one's answer.
     let number = match &message {
         Message::Job(ask) => Some(ask.message),
@@ -324,14 +334,14 @@
         return Err("a message id that is open already".to_string());
     }
     match message {
-        Message::Job(ask) => return Ok(take(door, client, ask, arrived)),
+        Message::Job(ask) => return Ok(take(shared, client, ask, arrived)),
         Message::Forget(ids) => {
             for job in ids.into_iter().filter_map(|id| client.forget(id)) {
                 counts::LEFT.add();
-                door.desk.gone(job);
+                shared.module.gone(job);
             }
         }
-        Message::IsWell(id) => client.write(id, &Reply::Well(door.health.is_well())),
+        Message::IsWell(id) => client.write(id, &Reply::Well(shared.health.is_well())),
         Message::Unusable(id, why) => {
             counts::UNUSABLE.add();
             client.write(id, &Reply::Failed(&why));
@@ -343,13 +353,13 @@
 }
 
 /// Hands a job to the module and to a thread of its own; says whether it could.
-fn take(door: &Door, client: &Arc<Client>, ask: Ask, arrived: Moment) -> bool {
-    let Some(taken) = door.names.take(&ask.id) else {
+fn take(shared: &Shared, client: &Arc<Client>, ask: Ask, arrived: Moment) -> bool {
+    let Some(taken) = shared.names.take(&ask.id) else {
         counts::UNUSABLE.add();
         client.write(ask.message, &Reply::Failed("field i is that of an open request"));
         return false;
     };
-    let room = if client.has_room() { room(door, ask.statement.len()) } else { None };
+    let room = if client.has_room() { room(shared, ask.statement.len()) } else { None };
     let Some((thread, lease)) = room else {
         // The one answer that the program gives by itself, for a job that the module never saw.
         counts::AT_LIMIT.add();
@@ -366,34 +376,34 @@
         ..Job::default()
     };
     counts::TAKEN.add();
-    let (id, steps) = door.desk.take(job, arrived);
+    let (id, steps) = shared.module.take(job, arrived);
     client.open(ask.message, id);
-    let life = Life {
+    let task = JobTask {
         id,
         steps,
         message: ask.message,
         name: ask.id,
         taken: Some(taken),
-        class: door.classes[ask.reservation].clone(),
+        class: shared.classes[ask.reservation].clone(),
         statement: ask.statement.into(),
         client: client.clone(),
-        desk: door.desk.clone(),
+        module: shared.module.clone(),
         lease,
     };
-    let _ = thread.send(life);
+    let _ = thread.send(task);
     true
 }
 
 /// A thread and the bytes for one more job, if the limits allow it.
-fn room(door: &Door, statement: usize) -> Option<(Sender<Life>, Lease)> {
-    let (place, bytes) = (door.jobs.lease(1)?, door.bytes.lease(statement + USUAL_RESULT)?);
-    let (thread, life) = bounded::<Life>(1);
-    let live = move || {
+fn room(shared: &Shared, statement: usize) -> Option<(Sender<JobTask>, Lease)> {
+    let (place, bytes) = (shared.jobs.lease(1)?, shared.bytes.lease(statement + USUAL_RESULT)?);
+    let (thread, task) = bounded::<JobTask>(1);
+    let run = move || {
         let _place = place;
-        if let Ok(life) = life.recv() {
-            life.live();
+        if let Ok(task) = task.recv() {
+            task.run();
         }
     };
-    crate::thread("job", crate::STACK, live).ok()?;
+    crate::thread("job", crate::STACK, run).ok()?;
     Some((thread, bytes))
 }
--- a/crates/server/src/service/mod.rs
+++ b/crates/server/src/service/mod.rs
@@ -5,4 +5,4 @@
 pub mod clock;
 pub mod config;
 pub mod reload;
-pub mod stop;
+pub mod shutdown;
--- a/crates/server/src/service/stop.rs
+++ b/crates/server/src/service/shutdown.rs
@@ -1,6 +1,6 @@
 //! A planned stop: not well at once, but serving on until all that was taken has its answer.
 
-use crate::desk::Desk;
+use crate::module::Module;
 use crate::service::clock;
 use pebblevane::interface::Span;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -23,15 +23,15 @@
 }
 
 /// Returns when the program may end.
-pub fn drain(desk: &Desk, health: &Health, longest_wait: Span) {
+pub fn drain(module: &Module, health: &Health, longest_wait: Span) {
     let told = clock::now();
     health.stopping.store(true, SeqCst);
     let by = told + longest_wait.min(LONGEST) + AFTER;
-    desk.stopping(by);
-    tracing::info!("stopping with {} jobs open", desk.open.load(SeqCst));
-    while clock::now() < told + COMING || (desk.open.load(SeqCst) > 0 && clock::now() < by) {
+    module.stopping(by);
+    tracing::info!("stopping with {} jobs open", module.open.load(SeqCst));
+    while clock::now() < told + COMING || (module.open.load(SeqCst) > 0 && clock::now() < by) {
         std::thread::sleep(Duration::from_millis(20));
     }
     std::thread::sleep(LINGER);
-    tracing::info!("stopped with {} jobs open", desk.open.load(SeqCst));
+    tracing::info!("stopped with {} jobs open", module.open.load(SeqCst));
 }
