A job hears its answer while its dispatch is given up, and a stop waits for open jobs to its end

Now giving up is one more thing that a job's thread waits for beside its steps, so that an answer leaves at once, and a stop closes only what rests, until the program's end 0.2 s later. Ruled out: the module (it had answered in time), the machine's load (the same on an idle one).

--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -18,7 +18,9 @@
 /// So much of a result is set aside beforehand; what comes past it is counted as it comes.
 pub const USUAL_RESULT: usize = 4_096;
 /// Within this time an engine reads that a dispatch is given up, or that its connection has ended.
-const READ: Duration = Duration::from_millis(5);
+const READ: Span = Span(5_000);
+/// A job waits so long for its dispatch to be given up.
+const GIVEN_UP: Span = Span(500_000);
 const MOST_PAGES: u32 = 4096;
 const AHEAD: u32 = 8;
 
@@ -36,6 +38,7 @@
     pub module: Arc<Module>,
     /// The bytes that the job may keep.
     pub lease: Lease,
+    pub ending: Option<Ending>,
 }
 
 /// A dispatch that is out.
@@ -49,6 +52,16 @@
     result: Option<Pages>,
 }
 
+/// A dispatch that has ended, and is told to the module once its engine has read that.
+pub struct Ending {
+    /// Ends once that is written there.
+    given_up: Receiver<()>,
+    until: Moment,
+    out: Out,
+    copy: u32,
+    outcome: Outcome,
+}
+
 /// The result as far as its pages have come.
 struct Pages {
     rows: Vec<u8>,
@@ -79,12 +92,17 @@
         let mut running: Option<Running> = None;
         let mut result = Vec::new();
         loop {
-            let nothing = never();
-            let (words, wait) = match &running {
-                Some(running) => (&running.out.words, clock::until(running.due())),
-                None => (&nothing, Duration::from_secs(3600)),
-            };
+            let (nothing, nobody) = (never(), never());
+            let words = running.as_ref().map_or(&nothing, |running| &running.out.words);
+            let given_up = self.ending.as_ref().map_or(&nobody, |ending| &ending.given_up);
+            let due = running.as_ref().map(Running::due).or(self.ending.as_ref().map(|ending| ending.until));
+            let wait = due.map_or(Duration::from_secs(3600), clock::until);
             select! {
+                recv(given_up) -> _ => {
+                    if let Some(ending) = &mut self.ending {
+                        (ending.given_up, ending.until) = (never(), clock::now() + READ);
+                    }
+                },
                 recv(self.steps) -> step => match step {
                     Ok(Step::Dispatch { engine, copy, limit, begin_by, rank }) => {
                         let sent = clock::now();
@@ -144,7 +162,9 @@
                     }
                 },
                 default(wait) => {
-                    if let Some(waits) = running.take_if(|running| running.waits_too_long()) {
+                    if let Some(ending) = self.ending.take_if(|ending| ending.until <= clock::now()) {
+                        self.told(ending);
+                    } else if let Some(waits) = running.take_if(|running| running.waits_too_long()) {
                         self.end(waits, Verdict::Unreachable, true, None, Report::new());
                     } else if let Some(late) = running.take_if(|running| running.ends <= clock::now()) {
                         let never_left = late.out.withhold();
@@ -185,19 +205,34 @@
     }
 
     /// Tells the module how the dispatch ended. What the engine still holds of it is given back first.
-    fn settle(&self, at: Running, verdict: Verdict, bill: Option<(Span, f64)>, report: Report) {
+    fn settle(&mut self, at: Running, verdict: Verdict, bill: Option<(Span, f64)>, report: Report) {
         self.end(at, verdict, false, bill, report);
     }
 
-    fn end(&self, at: Running, verdict: Verdict, lively: bool, bill: Option<(Span, f64)>, report: Report) {
+    fn end(
+        &mut self,
+        at: Running,
+        verdict: Verdict,
+        lively: bool,
+        bill: Option<(Span, f64)>,
+        report: Report,
+    ) {
         let (copy, took) = (at.copy, clock::now() - at.sent);
-        if matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error | Verdict::Broken) {
-            at.out.give_up();
-            // Nothing orders what is written to two engines: this one is to read it before another has the job.
-            std::thread::sleep(READ);
-        }
-        drop(at);
-        self.module.settle(self.id, copy, Outcome { verdict, took, over: false, lively, bill, report });
+        let outcome = Outcome { verdict, took, over: false, lively, bill, report };
+        let open =
+            matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error | Verdict::Broken);
+        // Nothing orders what is written to two engines: this one is to read it before another has the job. The job
+        // hears its answer meanwhile.
+        let given_up = if open { at.out.give_up() } else { never() };
+        let until = clock::now() + if open { GIVEN_UP } else { Span::default() };
+        let ending = Ending { given_up, until, out: at.out, copy, outcome };
+        if open { self.ending = Some(ending) } else { self.told(ending) }
+    }
+
+    fn told(&self, ending: Ending) {
+        let Ending { out, copy, outcome, .. } = ending;
+        drop(out);
+        self.module.settle(self.id, copy, outcome);
     }
 }
 
--- a/crates/server/src/memory/clients.rs
+++ b/crates/server/src/memory/clients.rs
@@ -82,6 +82,11 @@
         (state.open.is_empty() && locked(&self.out).bytes.is_empty()).then(|| state.since.elapsed())
     }
 
+    /// Whether nothing is open and nothing is kept that the client has not taken.
+    pub fn rests(&self) -> bool {
+        self.idle_for().is_some()
+    }
+
     /// Whether the connection carries one more request.
     pub fn has_room(&self) -> bool {
         locked(&self.state).open.len() < OPEN
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -28,7 +28,6 @@
 const FRESH: Duration = Duration::from_millis(20); // a rest of so long harms no connection
 const STALE: Duration = Duration::from_secs(10); // without a stale connection, longer rests are tried again
 const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
-const GIVEN_UP: Duration = Duration::from_millis(500); // a job waits so long for its dispatch to be given up
 
 /// What the settings say of connections.
 #[derive(Clone, Copy)]
@@ -196,11 +195,11 @@
 }
 
 impl Out {
-    /// Gives it up and waits until that is written: the job's next dispatch must not overtake it.
-    pub fn give_up(&self) {
+    /// Gives it up. What is returned ends once that is written: the job's next dispatch must not overtake it.
+    pub fn give_up(&self) -> Receiver<()> {
         let (done, given_up) = bounded(0);
         self.engine.owners.order(self.engine.key, Order::GiveUp { number: self.number, done: Some(done) });
-        let _ = given_up.recv_timeout(GIVEN_UP);
+        given_up
     }
 }
 
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -195,10 +195,12 @@
             let Some(connection) = self.all.get(&number) else { continue };
             if connection.closing.is_some() {
                 self.proceed(number);
-            } else if now >= steps.answered {
-                self.close(number, "the program stops");
-            } else if connection.rests() {
-                self.retire(number, Connection::rests, "the program stops");
+            } else {
+                // At the end nobody waits for the rest of a message.
+                let useless = |it: &Connection| it.rests() || now >= steps.answered && it.client.rests();
+                if useless(connection) {
+                    self.retire(number, useless, "the program stops");
+                }
             }
         }
         self.all.is_empty() || now >= steps.over
@@ -401,7 +403,7 @@
 
     /// Whether nothing is open on it, nothing is on its way to its client and no message has begun.
     fn rests(&self) -> bool {
-        self.closing.is_none() && self.bytes.is_empty() && self.client.idle_for().is_some()
+        self.closing.is_none() && self.bytes.is_empty() && self.client.rests()
     }
 
     /// Reads what is there, then deals with it: a client that has left behind its messages, or taken them back, is
@@ -436,7 +438,7 @@
         self.handle_buffered(shared)?;
         if self.useless > useless {
             // Whoever sends what is of no use at full speed waits; nobody else does.
-            let most = if self.client.idle_for().is_none() { LONGEST_PAUSE_OPEN } else { LONGEST_PAUSE };
+            let most = if self.client.rests() { LONGEST_PAUSE } else { LONGEST_PAUSE_OPEN };
             self.pauses_until = Some(Instant::now() + PAUSE * self.useless.min(most));
             return Ok(false);
         }
@@ -576,6 +578,7 @@
         wanted,
         module: shared.module.clone(),
         lease,
+        ending: None,
     };
     let _ = thread.send(task);
     true
