The budget of further dispatches counts the one that is about to go

`within_budget` compared those before it only, so that a fractional budget was passed by up to one: with 1 + 0.25 x 2 jobs = 1.5, a second went. The trace of further_dispatches_keep_to_their_budget held the wrong send (take 1) and is as strict with the right ones: one at 1 and 2 jobs, the second at 4.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -452,7 +452,7 @@
         let Some(window) = self.settings.number("Contract.BudgetWindow") else { return true };
         let since = self.now - Span::from_ms(window);
         let (extras, jobs) = (self.extras.since(since), self.taken.since(since));
-        extras < self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
+        extras + 1.0 <= self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
     /// Usual work that this gateway may still send to an engine within the window of the cold rule: its equal
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -406,13 +406,13 @@
             0     take 0: send 0 to 0
             0     Error 0.0: send 0 to 2
             0     take 1: send 1 to 1
-            0     Error 1.0: send 1 to 0
+            0     Error 1.0:
             0     take 2: send 2 to 1
             0     Error 2.0:
-            0     take 3: send 3 to 2
-            0     Error 3.0:
+            0     take 3: send 3 to 0
+            0     Error 3.0: send 3 to 1
             0     take 4: send 4 to 3
-            0     Error 4.0: send 4 to 5
+            0     Error 4.0:
         "#]],
     );
 }
