--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run sites
 
 build:
 	cargo build --release
@@ -12,3 +12,9 @@
 
 run: build
 	NODE_CONFIG=$${NODE_CONFIG:-examples/config.json} target/release/pebblevane
+
+# Lays beside our own deployments what the bench wants there; GIVEN is where the operators' kit lies. Git ignores it.
+GIVEN ?= ../given
+sites:
+	install -m 644 $(GIVEN)/kit/more/mass/other/real.json $(GIVEN)/kit/more/mass/other/wire.json \
+		$(GIVEN)/kit/more/mass/other/unlock.txt deploy/sites/
