The policy's names for slow start, replicas and the concurrency limit are the field's

Renamed with no change of behaviour: HOME to REPLICAS, COLD_CARE, COLD_TURN and COLD_JOBS to SLOW_START_CARE, _TURN and _JOBS, cold_budget to slow_start_budget, part to concurrency_limit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,12 +48,12 @@
 const ASK_AFTER: Span = Span(500_000); // a report may be so old where it stands for all gateways' load
 const ASK_SPEND: f64 = 0.025; // points that probes of pairs may cost
 const ASKS_KEPT: f64 = 12.0; // probes saved up; jobs that bill little leave half of them to others
-const HOME: f64 = 1.5; // engines that a table group calls its own, over its share of the pool
+const REPLICAS: f64 = 1.5; // replicas of a table group in its hashed order, over its share of the pool
 const PATIENCE: f64 = 6.0; // engines further along the order while a job waits out its slack
 const FORGET: Span = Span(60_000_000); // what was not met for so long is forgotten
-const COLD_JOBS: f64 = 2.0; // small jobs, as the settings tell them, that a turn at a cold engine is to hold
-const COLD_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
-const COLD_TURN: f64 = 0.4; // and in one turn, as a window meets two
+const SLOW_START_JOBS: f64 = 2.0; // small jobs, as the settings tell them, that a turn at a cold engine is to hold
+const SLOW_START_CARE: f64 = 0.6; // part of the cold budget that is used: capacity and work are guesses
+const SLOW_START_TURN: f64 = 0.4; // and in one turn, as a window meets two
 
 #[derive(Default)]
 pub struct Logic {
@@ -95,8 +95,8 @@
     tight: bool,
     pace: Fading,
     work: Fading, // sent of late
-    /// Own threads out in all, up to which jobs go out in a jam.
-    part: f64,
+    /// Concurrency limit: own threads out in all, up to which jobs go out in a jam.
+    concurrency_limit: f64,
     /// Jobs taken and dispatches made beyond a job's first, for the budget.
     taken: Recent,
     extras: Recent,
@@ -128,7 +128,7 @@
             gamma_at: now,
             started: now,
             stops: Moment(i64::MAX),
-            part: f64::INFINITY,
+            concurrency_limit: f64::INFINITY,
             settings,
             ..Logic::default()
         };
@@ -425,7 +425,7 @@
                 || if zone { there.location == listing.location } else { there.cell == listing.cell }
         });
         // Rule 3: at once, well within the grace. Rule 4.
-        let running = listing.stage == Stage::Running && self.cold_budget(engine) >= usual_work(kind);
+        let running = listing.stage == Stage::Running && self.slow_start_budget(engine) >= usual_work(kind);
         // Rule 6.
         let among = |list: &Option<Vec<f64>>, x| list.as_ref().is_none_or(|list| list.contains(&(x as f64)));
         let placed = among(&kind.locations, listing.location) && among(&kind.machines, listing.machine);
@@ -460,22 +460,22 @@
     /// number say: in each slot of one window's length as many gateways as heavy jobs fit, or small ones in
     /// pairs, share so little that the two turns that a window meets keep to the budget. One that has just
     /// started may have forgotten what it sent, and waits.
-    fn cold_budget(&self, engine: &Engine) -> f64 {
+    fn slow_start_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
         let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
         let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else { return f64::INFINITY };
         let sent = engine.sent.since(self.now - window);
         let whole = |at| multiple * self.warmth(engine, at) * engine.cores * window.ms();
         if !engine.whole {
-            return COLD_CARE * whole(self.now) / self.gateways - sent;
+            return SLOW_START_CARE * whole(self.now) / self.gateways - sent;
         }
         let slot = (self.now - ready).0.max(0) / window.0.max(1);
-        let whole = COLD_TURN * whole(ready + window.times(slot as f64));
+        let whole = SLOW_START_TURN * whole(ready + window.times(slot as f64));
         // Two turns of three are for small jobs: many gateways have some, few have a large one in time.
         let guessed = self.types.iter().map(|kind| kind.sla.ms() * kind.threads / 2.0);
         let (heaviest, lightest) =
             (guessed.clone().fold(1.0, f64::max), guessed.fold(f64::INFINITY, f64::min));
-        let unit = if slot % 3 == 0 { heaviest } else { COLD_JOBS * lightest.max(1.0) };
+        let unit = if slot % 3 == 0 { heaviest } else { SLOW_START_JOBS * lightest.max(1.0) };
         let holders = (whole / unit).floor().clamp(1.0, self.gateways);
         let turn = (mix(engine.hash ^ slot as u64) % self.gateways as u64) as f64 + self.contract("Ordinal");
         let mine = turn % self.gateways < holders && self.started + window <= self.now;
@@ -661,8 +661,8 @@
                 let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
                 // Its part of what this gateway sent of late: as all walk alike, of what all sent. On a turn
                 // at a cold engine the budget says how much: a part would leave most of it unused.
-                let turn = || self.cold_budget(engine) < f64::INFINITY;
-                let part = || engine.work.read(now, CALM_OVER) <= HOME * mean * self.warmth(engine, now);
+                let turn = || self.slow_start_budget(engine) < f64::INFINITY;
+                let part = || engine.work.read(now, CALM_OVER) <= REPLICAS * mean * self.warmth(engine, now);
                 return fits && (fresh || blind && (turn() || part()));
             }
             load <= most || (engine.outs == 0 && room())
@@ -671,7 +671,7 @@
         let (mut ask, asks) = (vec![], many || pulls);
         // Where gateways are many, a job waits a little for the engines whose tables are warm: it goes one
         // engine further with each beat, and hot groups have as many engines as their traffic asks for.
-        let hot = HOME * order.len() as f64 * self.traffic.share_of(group, 20.0);
+        let hot = REPLICAS * order.len() as f64 * self.traffic.share_of(group, 20.0);
         let waited = (now - held.taken).ms() / ((held.sla_ends - held.taken).ms() - held.bare).max(1.0);
         let depth =
             if many && !blind { (2.0 + hot.floor() + PATIENCE * waited) as usize } else { usize::MAX };
@@ -685,16 +685,16 @@
             (<[Vec<usize>; 3]>::default(), <[Vec<usize>; 3]>::default(), vec![]);
         let far = (order.len() as f64 - 2.0 - 2.0 * hot).max(0.0);
         // So do jobs of more than this gateway's part of an engine each: its own walk can't level them.
-        let large = blind && held.cost > HOME * mean;
+        let large = blind && held.cost > REPLICAS * mean;
         let first = if kind.holds { (far * draw) as usize } else { 0 };
         let turned = if large && !kind.holds { (order.len() as f64 * draw) as usize } else { 0 };
         // A cold engine that is this gateway's turn comes first: no other may send there now.
-        let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.cold_budget(&self.engines[e]));
+        let mine = |e: &usize| (1e-9..f64::INFINITY).contains(&self.slow_start_budget(&self.engines[e]));
         let turns: Vec<usize> = self.cold.iter().copied().filter(mine).collect();
         // Jobs out are the work that comes times pace: too many are a jam that other signs show late. What is
         // stuck in known jams holds the rest less, and nothing from a cold engine, whose budget is its own.
         let widest = self.types.iter().fold(1.0, |most: f64, kind| most.max(kind.threads));
-        let most = self.part.min(self.at_pace(PACE_GOOD) + widest);
+        let most = self.concurrency_limit.min(self.at_pace(PACE_GOOD) + widest);
         let well = self.engines.values().filter(|e| !past(e)).map(|engine| engine.threads).sum::<f64>();
         let full = blind && (well >= most || self.threads_out() >= JAMMED * most);
         let walk = (first..order.len())
@@ -706,7 +706,7 @@
                 continue;
             }
             let last = held.last == Some(e) || (engine.on_trial && kind.effect == Effect::RunOnce);
-            // The memory of a jam is long: such engines come last, and the own part bounds what they get.
+            // The memory of a jam is long: such engines come last, and their share of what was sent of late bounds what they get.
             let last = last || blind && past(engine);
             let home = kind.holds && order.first() == Some(&e);
             let behind = home || engine.held(group, now) && (kind.waits || kind.holds);
@@ -1055,10 +1055,10 @@
         // Likewise for what this gateway has out in all, for a jam of the whole pool where loads are unknown.
         if pool > PACE_BAD {
             let equal = BOUND_LEAST * THREADS_A_CORE * self.cores / self.gateways;
-            let part = self.part.min(self.at_pace(PACE_GOOD)) * 0.93;
-            self.part = part.max(equal).max(self.at_pace(PACE_LEAST));
-        } else if self.threads_out() > 0.7 * self.part {
-            self.part *= 1.05;
+            let part = self.concurrency_limit.min(self.at_pace(PACE_GOOD)) * 0.93;
+            self.concurrency_limit = part.max(equal).max(self.at_pace(PACE_LEAST));
+        } else if self.threads_out() > 0.7 * self.concurrency_limit {
+            self.concurrency_limit *= 1.05;
         }
         self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
         for at in 0..2 * self.types.len() {
