A connection whose end has come is not written to, and a mute event bus is left within 1.5 s

Causes: memory/engines.rs, assign, wrote to a connection that rests whatever had come on it. Where its engine has just closed it, the reader's word of that may stand behind the job in the owners' queue, or be unread: the job is lost with the connection ("broken"), and one that must not run twice is cancelled, though nothing can have read it. Now the last look before the first byte peeks at a resting connection; one whose end has come goes, and the job takes another.

service/bus.rs gave a connection that opens and never speaks 2.2 s. Two of those after one that fell silent and a connect that fails made 8 s, past the 7 s in which a drain counts as told; a first heartbeat is due within 1 s, so 1.5 s are enough: 6.6 s. Test: connections_to_the_bus_that_never_speak_are_given_up_soon.

--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -447,6 +447,17 @@
 
     /// Writes it to a connection, after the last look whether it may still leave.
     fn assign(&mut self, number: u64, key: u64, means: &Means) {
+        // The end of a connection that rests may have come and not been read yet: what is written then is lost, and
+        // whether it ran can't be known.
+        if self
+            .connections
+            .get(&key)
+            .is_some_and(|connection| connection.ids.is_empty() && connection.has_ended())
+        {
+            self.lost(key, "its engine has closed it while it rested", means);
+            self.waiting.push_front(number);
+            return self.assign_waiting(means);
+        }
         let Some(entry) = self.outs.get_mut(&number) else { return };
         let Some(connection) = self.connections.get_mut(&key) else { return };
         let bytes = match &entry.what {
@@ -794,6 +805,14 @@
         self.since.elapsed() < if self.used { fresh_for } else { idle }
     }
 
+    /// Whether its end has come, though nobody has read that yet.
+    fn has_ended(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// How long it could have spoken and has not.
     fn quiet_for(&self) -> Duration {
         self.heard.max(self.since).elapsed()
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -12,6 +12,9 @@
 
 const CONNECT: Duration = Duration::from_millis(800);
 const SILENCE: Duration = Duration::from_millis(2200); // two heartbeats and a bit, for a whole line
+/// A connection that has just been made and never speaks: its first heartbeat is due within a second. Two such ones
+/// after one that fell silent, and a connect that fails, leave what a drain told to be known within 7 s.
+const FIRST_LINE: Duration = Duration::from_millis(1500);
 const PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
 const LONGEST_LINE: usize = 1024 * 1024;
@@ -84,10 +87,10 @@
     }
 }
 
-/// Reads one line within the time that the bus may be silent, however slowly its bytes come.
-fn read_line(stream: &mut BufReader<TcpStream>, bytes: &mut Vec<u8>) -> Result<(), String> {
+/// Reads one line within this time, however slowly its bytes come.
+fn read_line(stream: &mut BufReader<TcpStream>, bytes: &mut Vec<u8>, within: Duration) -> Result<(), String> {
     bytes.clear();
-    let due = Instant::now() + SILENCE;
+    let due = Instant::now() + within;
     loop {
         let left = due.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
         stream.get_ref().set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
@@ -124,11 +127,12 @@
         Ok(stream) => BufReader::new(stream),
         Err(e) => return format!("cannot connect: {e}"),
     };
-    let mut bytes = Vec::new();
+    let (mut bytes, mut within) = (Vec::new(), FIRST_LINE);
     loop {
-        if let Err(why) = read_line(&mut stream, &mut bytes) {
+        if let Err(why) = read_line(&mut stream, &mut bytes, within) {
             return why;
         }
+        within = SILENCE;
         match bus::line(&String::from_utf8_lossy(&bytes)) {
             Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
             Ok(Line::Beat(_)) => {}
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -333,3 +333,44 @@
     expect!["1: Busy w=1000, read there: "]
         .assert_eq(&format!("{answer}, read there: {}", String::from_utf8_lossy(&read)));
 }
+
+/// Clients that fill their descriptors and rest, while the event bus is away, leave those of the bus and of engines
+/// free: the bus is reached once it is back, and what it tells of an engine is acted on.
+#[test]
+fn a_crowd_of_idle_clients_leaves_the_bus_and_engines_their_descriptors() {
+    let (mut engines, mut bus) = (Engines::start(1), Bus::start());
+    let mut few = config(&engines, &bus.address);
+    few["limits"]["sockets"] = json!(120);
+    let program = Program::with_descriptors(few, 120);
+    assert_eq!(bus.asked(), "from 1");
+    let crowd: Vec<Client> = (0..200).map(|_| program.client()).collect();
+    bus.cut();
+    assert_eq!(bus.asked(), "from 1");
+    engines.add("127.0.0.1:0");
+    let entries = vec![
+        entry("e0", &engines.addresses[0], "terminating"),
+        entry("e1", &engines.addresses[1], "in_service"),
+    ];
+    bus.event(2, false, entries);
+    program.logged("engine list: event 2");
+    // Whoever rests or says nothing makes room for one that asks, and the engine has a descriptor for its job.
+    let mut client = program.client();
+    client.ask(1, "lookup", 20_000);
+    let seen = engines.next();
+    seen.says("HIT", "-", "");
+    assert_eq!((seen.engine, client.next()), (1, "1: done ".to_string()));
+    drop(crowd);
+}
+
+/// A connection to the event bus that opens and never speaks is given up once its first heartbeat is overdue, sooner
+/// than one that has spoken: two in a row leave what the bus has to tell within its time.
+#[test]
+fn connections_to_the_bus_that_never_speak_are_given_up_soon() {
+    let engines = Engines::start(1);
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let _program = Program::with(config(&engines, &mute.local_addr().unwrap().to_string()));
+    let opened: Vec<_> = (0..3).map(|_| (mute.accept().unwrap(), Instant::now())).collect();
+    let took = opened[2].1 - opened[0].1;
+    // 3.0 s and two pauses of 75 and 150 ms at most; with 2.2 s for each it would be 4.4 s.
+    assert!(took < Duration::from_millis(4200), "{took:?}");
+}
