A connection with half a line on it while it rests takes no job

Cause: memory/engines.rs, connection_for and assign, put a job on a resting connection on which an engine had begun a line that nobody asked for; its own answer then stood behind that and was read as garbage: a run-once job was cancelled, though done.

The last look before the first byte leaves a resting connection that has anything on it, read or not: its end, half a line, a word that is not wanted. It ends, and the job takes another.

--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -265,6 +265,8 @@
 
 struct Connection {
     stream: Arc<TcpStream>,
+    /// An answer has begun that has not come whole.
+    midway: Arc<AtomicBool>,
     ids: HashMap<Box<str>, u64>,
     /// Ids that were given up here: a late answer may still come under them.
     spent: HashSet<Box<str>>,
@@ -448,13 +450,10 @@
     /// Writes it to a connection, after the last look whether it may still leave.
     fn assign(&mut self, number: u64, key: u64, means: &Means) {
         // The end of a connection that rests may have come and not been read yet: what is written then is lost, and
-        // whether it ran can't be known.
-        if self
-            .connections
-            .get(&key)
-            .is_some_and(|connection| connection.ids.is_empty() && connection.has_ended())
-        {
-            self.lost(key, "its engine has closed it while it rested", means);
+        // whether it ran can't be known. Half a line on it would spoil the answer.
+        let odd = |connection: &Connection| connection.ids.is_empty() && !connection.is_quiet();
+        if self.connections.get(&key).is_some_and(odd) {
+            self.lost(key, "its end or what nobody asked for came while it rested", means);
             self.waiting.push_front(number);
             return self.assign_waiting(means);
         }
@@ -579,9 +578,12 @@
         self.opened += 1;
         let (key, connection, orders) = (self.key, self.opened, means.orders.clone());
         let tell = Box::new(move |told| drop(orders.send((key, Order::Connection { connection, told }))));
-        means.readers.add(ReadHalf::new(stream.clone(), means.terms.dial, tell))?;
+        let half = ReadHalf::new(stream.clone(), means.terms.dial, tell);
+        let midway = half.midway();
+        means.readers.add(half)?;
         let connection = Connection {
             stream,
+            midway,
             ids: HashMap::new(),
             spent: HashSet::new(),
             since: Instant::now(),
@@ -805,12 +807,10 @@
         self.since.elapsed() < if self.used { fresh_for } else { idle }
     }
 
-    /// Whether its end has come, though nobody has read that yet.
-    fn has_ended(&self) -> bool {
-        match self.stream.peek(&mut [0]) {
-            Ok(count) => count == 0,
-            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
-        }
+    /// Whether nothing has come on it, read or not, that is not whole or is its end.
+    fn is_quiet(&self) -> bool {
+        let nothing = |e: std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted);
+        !self.midway.load(SeqCst) && self.stream.peek(&mut [0]).is_err_and(nothing)
     }
 
     /// How long it could have spoken and has not.
--- a/crates/server/src/memory/readers.rs
+++ b/crates/server/src/memory/readers.rs
@@ -10,6 +10,7 @@
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 const NEW: usize = 256; // connections that wait to be read
@@ -34,6 +35,8 @@
     tell: Box<dyn Fn(ConnectionEvent) + Send>,
     bytes: Vec<u8>,
     since: Instant,
+    /// An answer has begun that has not come whole.
+    midway: Arc<AtomicBool>,
 }
 
 impl ReadHalf {
@@ -42,7 +45,12 @@
         stall: Duration,
         tell: Box<dyn Fn(ConnectionEvent) + Send>,
     ) -> ReadHalf {
-        ReadHalf { stream, stall, tell, bytes: Vec::new(), since: Instant::now() }
+        ReadHalf { stream, stall, tell, bytes: Vec::new(), since: Instant::now(), midway: Arc::default() }
+    }
+
+    /// Shows whether an answer has begun that has not come whole.
+    pub fn midway(&self) -> Arc<AtomicBool> {
+        self.midway.clone()
     }
 
     /// Reads what is there; says whether more may be.
@@ -66,6 +74,7 @@
             if self.bytes.is_empty() {
                 self.bytes.shrink_to(KEPT);
             }
+            self.midway.store(!self.bytes.is_empty(), SeqCst);
         }
         Ok(true)
     }
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -374,3 +374,22 @@
     // 3.0 s and two pauses of 75 and 150 ms at most; with 2.2 s for each it would be 4.4 s.
     assert!(took < Duration::from_millis(4200), "{took:?}");
 }
+
+/// Half a line on a connection that rests would spoil the answer to the next job there: it goes on another one.
+#[test]
+fn half_a_line_on_a_resting_connection_spoils_no_answer() {
+    let (engines, _bus, program, mut client) = one_engine();
+    client.ask(1, "load", 20_000);
+    let mut seen = engines.next();
+    for message in 2..20 {
+        seen.says("HIT", "-", "");
+        assert_eq!(client.next(), format!("{}: done ", message - 1));
+        program.held(|| {
+            seen.raw(b"0000");
+            client.ask(message, "load", 20_000);
+        });
+        let next = engines.next();
+        assert_eq!((next.word(0), next.is_beside(&seen)), ("REQ", false));
+        seen = next;
+    }
+}
