Up to 32 connections at once may be on their way to their end to make room

Since connections are closed in order, one that makes room gives its descriptor back when its client ends it, or after 50 ms. Now eight at each look, every 20 ms, until 32 are closing.

--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -28,6 +28,7 @@
 const SILENT: Duration = Duration::from_millis(100);
 const RESTING: Duration = Duration::from_millis(300);
 const ROOM: usize = 8; // make room at a time
+const CLOSING: usize = 32; // may be on their way to their end to make room
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room, or during a stop
 const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
@@ -370,7 +371,7 @@
         let useless = self.all.iter().filter_map(|(number, connection)| Some((rank(connection)?, *number)));
         let mut useless: Vec<((bool, Duration), usize)> = useless.collect();
         useless.sort_unstable_by(|a, b| b.cmp(a));
-        for (_, number) in useless.into_iter().take(ROOM.saturating_sub(closing)) {
+        for (_, number) in useless.into_iter().take(ROOM.min(CLOSING.saturating_sub(closing))) {
             counts::MADE_ROOM.add();
             self.retire(number, |connection| rank(connection).is_some(), "it makes room");
         }
