--- a/crates/server/tests/helpers/mod.rs
+++ b/crates/server/tests/helpers/mod.rs
@@ -202,6 +202,14 @@
         "lifecycle": state, "weight": 8, "startedAtMs": 0})
 }
 
+/// One engine, the bus, the program and a client.
+pub fn one_engine() -> (Engines, Bus, Program, Client) {
+    let (engines, bus) = (Engines::start(1), Bus::start());
+    let program = Program::start(&engines, &bus);
+    let client = program.client();
+    (engines, bus, program, client)
+}
+
 /// The program with what it is told at its start. It is killed when the test ends.
 pub struct Program {
     pub child: Child,
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -10,13 +10,6 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 
-fn one_engine() -> (Engines, Bus, Program, Client) {
-    let (engines, bus) = (Engines::start(1), Bus::start());
-    let program = Program::start(&engines, &bus);
-    let client = program.client();
-    (engines, bus, program, client)
-}
-
 /// After SIGTERM new connections and requests are served for a second. What comes after that, but before the
 /// program has ended, is answered too: here what the system holds while the program stands still, on a connection
 /// that rests and on one that was never accepted.
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -7,14 +7,6 @@
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
 
-/// One engine, the bus, the program and a client.
-fn one_engine() -> (Engines, Bus, Program, Client) {
-    let (engines, bus) = (Engines::start(1), Bus::start());
-    let program = Program::start(&engines, &bus);
-    let client = program.client();
-    (engines, bus, program, client)
-}
-
 #[test]
 fn a_job_goes_out_and_comes_back() {
     let (engines, _bus, _program, mut client) = one_engine();
