The budget of further dispatches counts both ends of its window

Ruled out: the count of jobs taken (it leaves out the far end already) and the sum's rounding. At fault: `within_budget`, which asked for dispatches after `now - window` only, and `send`, which kept none older than that. Now dispatches are kept and counted for two ticks (the guard) more than the window, jobs taken for the window alone. Whatever end a reader counts, the dispatches counted here are no fewer and the jobs no more. The new test's second dispatch left exactly one window after the first with the old code (seen to fail) and waits two ticks now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -451,7 +451,8 @@
     fn within_budget(&self) -> bool {
         let Some(window) = self.settings.number("Contract.BudgetWindow") else { return true };
         let since = self.now - Span::from_ms(window);
-        let (extras, jobs) = (self.extras.since(since), self.taken.since(since));
+        // Two dispatches one window apart count together: a limit within any span holds at both its ends.
+        let (extras, jobs) = (self.extras.since(since - self.guard()), self.taken.since(since));
         extras + 1.0 <= self.contract("Contract.SpareAttempts") + self.contract("Contract.ExtraRatio") * jobs
     }
 
@@ -489,6 +490,7 @@
         }
         let (terms, begin_by) = (self.terms(id, to), self.begin_by(&self.jobs[&id]));
         let (window, cold) = (self.span("Contract.BudgetWindow"), self.span("Contract.OverloadFor"));
+        let window = window + self.guard();
         let held = self.jobs.get_mut(&id).expect("a job that may be sent is held");
         let kind = &self.types[held.job.reservation];
         let engine = self.engines.get_mut(&to).expect("an engine that may be sent to is known");
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -417,6 +417,31 @@
     );
 }
 
+#[test]
+fn a_budget_holds_at_both_ends_of_its_window() {
+    let budget =
+        [("Contract.BudgetWindow", 1000.0), ("Contract.SpareAttempts", 1.0), ("Contract.ExtraRatio", 0.0)];
+    let mut desk = Desk::new(&budget, 6);
+    let first = desk.take(LOOKUP, 1, None);
+    desk.settle(first, 0, Verdict::Error, 1.0);
+    desk.pass(900.0);
+    let second = desk.take(LOOKUP, 2, None);
+    desk.pass(100.0);
+    desk.settle(second, 0, Verdict::Error, 1.0);
+    desk.pass(100.0);
+    same(
+        desk,
+        expect![[r#"
+            0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]:
+            0     take 0: send 0 to 0
+            0     Error 0.0: send 0 to 1
+            900   take 1: send 1 to 4
+            1000  Error 1.0:
+            1010  : send 1 to 3
+        "#]],
+    );
+}
+
 #[test]
 fn the_final_answer_comes_before_the_client_leaves_and_late_outcomes_change_nothing() {
     let mut desk = Desk::new(&[], 2);
