Where a key's jobs can't all be in time, the longest give up their turn

On these keys the jobs sent were told to need 2,670 ms of work, those thrown away 1,844 ms. Cause: a key's line hands its turn to the job in front until that can't meet its SLA time. In a line that is longer than the SLA time every job runs just before it, and a long one is kept longest, since its SLA time grows with its work. So the line ran long jobs and threw away short ones. At fault: `place_waiting`, which judged each job of a key for itself. Now the job that has the turn is sent only if it is kept by Moore's algorithm: the jobs of the key are laid end to end in their order, and where one would be late, the longest for its billed value so far is left out. Order stays; a job without others behind it is judged as before, and so is one that was sent once. It should cover any line of turns that more is asked of than fits: hot keys, bursts, stalled gateways, slow engines. It does harm where the told work is so wrong that the wrong job leaves. No clash with another defence: nothing else looks at a line of turns.

Tests: a new one, which the old code fails (seen); none changed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -960,6 +960,29 @@
             && kind.late * kind.billed / left.max(1e-3) < self.traffic.billed.mean_or(0.0)
     }
 
+    /// Whether a job whose turn it is leaves it to those behind it: one after the other they can't all meet
+    /// their SLA time, and it is one of those without which most of them do (Moore's algorithm).
+    fn leaves_turn(&self, id: JobId) -> bool {
+        let key = self.jobs[&id].job.key.filter(|_| self.jobs[&id].copies == 0 && self.may_go(id));
+        let Some(turns) = key.and_then(|key| self.turns.get(&key)).filter(|turns| turns.len() > 1) else {
+            return false;
+        };
+        let (mut ends, mut kept) = (self.now, Vec::new());
+        for other in turns {
+            let held = &self.jobs[other];
+            let kind = &self.types[held.job.reservation];
+            let usual = usual_work(kind) / kind.threads;
+            let takes = held.bare * kind.latency.map_or(1.0, |latency| latency / usual.max(1.0)).max(1.0);
+            kept.push((takes / kind.billed.max(1e-9), *other, Span::from_ms(takes)));
+            ends = ends + kept[kept.len() - 1].2;
+            let dearest = (0..kept.len()).max_by(|a, b| kept[*a].0.total_cmp(&kept[*b].0));
+            if let Some(dearest) = dearest.filter(|_| ends > held.sla_ends) {
+                ends = ends - kept.swap_remove(dearest).2;
+            }
+        }
+        kept.iter().all(|(_, other, _)| *other != id)
+    }
+
     /// Held jobs go in the order of their billed value for their work; the late ones are given up.
     fn place_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
@@ -974,7 +997,8 @@
             let (kind, memory) = (held.job.reservation, held.memory);
             let alike = held.copies == 0 && !self.types[kind].ordered;
             // Too late, or past the window in which what may have run may be repeated.
-            if self.now + Span::from_ms(held.bare) > held.sla_ends || !self.again(held) {
+            let late = self.now + Span::from_ms(held.bare) > held.sla_ends;
+            if late || !self.again(held) || self.leaves_turn(id) {
                 self.give_up(id);
             } else if alike && memory >= no_room[kind] {
                 self.waiting.push(id);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -368,6 +368,47 @@
     );
 }
 
+#[test]
+fn a_long_job_leaves_its_turn_where_those_behind_it_would_be_late() {
+    let mut desk = Desk::new(&[], 4);
+    let first = desk.take(ORDERED, 11, Some(5));
+    desk.cost = Some(700.0);
+    desk.take(ORDERED, 11, Some(5));
+    desk.cost = Some(200.0);
+    let short: Vec<u32> = (0..3).map(|_| desk.take(ORDERED, 11, Some(5))).collect();
+    desk.cost = Some(700.0);
+    let alone = desk.take(ORDERED, 11, Some(6));
+    desk.pass(100.0);
+    desk.settle(first, 0, Verdict::Done, 100.0);
+    desk.pass(10.0);
+    for job in short {
+        desk.pass(190.0);
+        desk.settle(job, 0, Verdict::Done, 190.0);
+        desk.pass(10.0);
+    }
+    desk.settle(alone, 0, Verdict::Done, 900.0);
+    same(
+        desk,
+        expect![[r#"
+            0     list [0 Running, 1 Running, 2 Running, 3 Running]:
+            0     take 0: send 0 to 3
+            0     take 1:
+            0     take 2:
+            0     take 3:
+            0     take 4:
+            0     take 5: send 5 to 1
+            100   Done 0.0:
+            105   : throttle 1, send 2 to 3
+            300   Done 2.0:
+            305   : send 3 to 3
+            500   Done 3.0:
+            505   : send 4 to 3
+            700   Done 4.0:
+            710   Done 5.0:
+        "#]],
+    );
+}
+
 #[test]
 fn a_bound_job_waits_or_ends_but_never_goes_elsewhere() {
     let mut desk = Desk::new(&[], 4);
