Jobs that wait for their key's turn are no line for room

Seen: a jam's holding (`tight`) is meant to go on until the line at the gateway is empty. While so held, a job that finds no engine under this gateway's bound waits though the pool keeps its pace. Cause, and lines at fault: `step_bounds` asked whether `waiting` is empty; since keys keep an order, that list also holds jobs that no room would help. Now only waiting jobs that may go now count as a line. It covers whatever keeps a job waiting that room can't mend: order, rests, the budget. It could do harm where turns end all at once; then each key still lets out one job at a time.

Tests: a new one; the old code sends 15 of its 36 jobs and fails it (seen), the new one 31. None changed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1086,7 +1086,9 @@
         } else if self.threads_out() > 0.7 * self.concurrency_limit {
             self.concurrency_limit *= 1.05;
         }
-        self.tight = pool > PACE_TIGHT || (self.tight && !self.waiting.is_empty());
+        // Jobs that wait for their key's turn or for the budget are no line for room.
+        let line = |id: &JobId| self.jobs.contains_key(id) && self.may_go(*id);
+        self.tight = pool > PACE_TIGHT || (self.tight && self.waiting.iter().any(line));
         for at in 0..2 * self.types.len() {
             let (kind, way) = (&mut self.types[at / 2], at % 2);
             kind.pace[way].touch(now, CALM_OVER);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1252,6 +1252,25 @@
 }
 
 /// Engines, table groups and keys may be ever new: what can't matter any more is forgotten, what is open is not.
+#[test]
+fn a_job_that_waits_for_its_turn_is_no_line_for_room() {
+    let mut desk = Desk::new(&[("Classes.3.Aim", 60000.0)], 2);
+    (desk.left, desk.cost) = (60000.0, Some(30000.0));
+    desk.take(ORDERED, 11, Some(5));
+    (desk.cost, desk.bill) = (Some(100.0), Some(100.0));
+    desk.take(ORDERED, 11, Some(5));
+    // A jam, and then calm for long enough that it says nothing any more.
+    for group in 0..20 {
+        let job = desk.take(LOOKUP, group, None);
+        desk.settle(job, 0, Verdict::Done, 600.0);
+    }
+    desk.pass(15000.0);
+    let before = desk.trace.matches("send").count();
+    (0..36).for_each(|group| assert!(desk.take(LOOKUP, group, None) > 0));
+    let sent = desk.trace.matches("send").count() - before;
+    expect!["sent 31"].assert_eq(&format!("sent {sent}"));
+}
+
 #[test]
 fn nothing_grows_with_what_is_ever_new() {
     let mut desk = Desk::new(&[("Contract.OrderPause", 300.0)], 2);
