Gateways take turns at cold engines wherever an equal share is below a job

One job by its id, gateway's log: 14.071 GIVEUP id=382 type=0 age=1412 slack=364 copies=0 cold=48 running=80 seen=32 nogo=48 under=0: never sent, 48 cold engines refused by rule 4. Cause: `slow_start_budget` gave 0.6 of an equal share of the cold budget to each gateway unless bounds are whole engines', which asks for probes and load reports: 13 ms of work a second for each of 300, less than any job. At fault with it: the list of cold engines in `engines_changed`, and the bound in `choose`, which a turn may now pass. Now turns rest on the count of gateways alone (`share_below_job`).

Test: a_cold_engine_is_used_where_nothing_tells_loads; 0 jobs with the old code (seen to fail), 108 now. None changed; a doc comment went back to the test that it belongs to.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -149,7 +149,7 @@
         let runs = |id: &usize| engines[id].listing.stage == Stage::Running;
         self.running = engines.keys().copied().filter(runs).collect();
         self.cores = self.running.iter().map(|id| engines[id].cores).sum();
-        let cold = |id: &usize| engines[id].whole && engines[id].listing.ready_at.is_some();
+        let cold = |id: &usize| self.share_below_job(&engines[id]) && engines[id].listing.ready_at.is_some();
         self.cold = self.running.iter().copied().filter(cold).collect();
         self.orders.clear();
         self.place_waiting();
@@ -372,15 +372,15 @@
         let restarted = listing.ready_at.is_some()
             && self.engines.get(&id).is_some_and(|engine| engine.listing.ready_at != listing.ready_at);
         if restarted || !self.engines.contains_key(&id) {
-            // An equal share under one thread means nothing: the bound is the whole engine's, for all, if
-            // reports tell of all gateways' jobs and may be asked for.
+            // Where an equal share means nothing the bound is the whole engine's, for all, if reports tell of
+            // all gateways' jobs and may be asked for.
             let told =
                 |i| ["concurrent", "load_share"].contains(&self.settings.text(&format!("Report.Names.{i}")));
             let asked = self.settings.flag("Ceilings.Probes") && (0..4).any(told);
             let before = self.engines.remove(&id).unwrap_or_default();
             let mut engine = Engine::read(&self.settings, listing, before, self.types.len());
             engine.heard = self.now;
-            engine.whole = asked && THREADS_A_CORE * engine.cores < self.gateways;
+            engine.whole = asked && self.share_below_job(&engine);
             engine.share = if engine.whole { 1.0 } else { 1.0 / self.gateways };
             engine.bound = engine.share;
             self.engines.insert(id, engine);
@@ -467,7 +467,7 @@
         let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else { return f64::INFINITY };
         let sent = engine.sent.since(self.now - window);
         let whole = |at| multiple * self.warmth(engine, at) * engine.cores * window.ms();
-        if !engine.whole {
+        if !self.share_below_job(engine) {
             return SLOW_START_CARE * whole(self.now) / self.gateways - sent;
         }
         let slot = (self.now - ready).0.max(0) / window.0.max(1);
@@ -483,6 +483,12 @@
         if mine { whole / holders - sent } else { 0.0 }
     }
 
+    /// An equal share of an engine, or of its cold budget, is less than a job and means nothing. Only what all gateways
+    /// know alike counts, since they take turns by it; reports and probes have no part in that.
+    fn share_below_job(&self, engine: &Engine) -> bool {
+        THREADS_A_CORE * engine.cores < self.gateways
+    }
+
     /// The one place from which a dispatch goes out. `next` is handed its result.
     fn send(&mut self, id: JobId, to: usize, choice: Option<Choice>, next: Next) -> bool {
         if !self.may_go(id) || !self.may_go_to(id, to) {
@@ -658,16 +664,16 @@
         let under = |engine: &Engine| {
             let load = self.fill(engine, kind.threads, held.memory);
             let most = engine.bound * self.warmth(engine, now);
+            // On a turn at a cold engine its budget says how much: a part or a share would leave most of it unused.
+            let turn = || self.share_below_job(engine) && self.slow_start_budget(engine) < f64::INFINITY;
             if engine.whole {
                 let fits = load <= most * dense && (blind || !past(engine));
                 let fresh = now - engine.reported <= ASK_AFTER.times(2.0);
-                // Its part of what this gateway sent of late: as all walk alike, of what all sent. On a turn
-                // at a cold engine the budget says how much: a part would leave most of it unused.
-                let turn = || self.slow_start_budget(engine) < f64::INFINITY;
+                // Its part of what this gateway sent of late: as all walk alike, of what all sent.
                 let part = || engine.work.read(now, CALM_OVER) <= REPLICAS * mean * self.warmth(engine, now);
                 return fits && (fresh || blind && (turn() || part()));
             }
-            load <= most || (engine.outs == 0 && room())
+            load <= most || (engine.outs == 0 && room()) || turn()
         };
         let pulls = self.settings.flag("Ceilings.Probes") && self.settings.text("Report.How") == "pull";
         let (mut ask, asks) = (vec![], many || pulls);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1113,6 +1113,54 @@
     expect!["51 small, 50 heavy"].assert_eq(&format!("{} small, {} heavy", sent[0], sent[1]));
 }
 
+/// An equal share of a cold engine's budget is less than a job wherever gateways are many, also where probes aren't
+/// allowed or reports don't tell of load: they take turns there, too, or a release leaves all new engines idle.
+#[test]
+fn a_cold_engine_is_used_where_nothing_tells_loads() {
+    let mut lines = String::new();
+    for (case, more) in
+        [("no probes", ("Ceilings.Probes", 0.0)), ("no load in reports", ("Report.Names.0", 0.0))]
+    {
+        let mut ledger: Vec<f64> = Vec::new();
+        for ordinal in 0..300 {
+            let cold = [
+                ("Contract.FallMultiple", 2.0),
+                ("Contract.OverloadFor", 1000.0),
+                ("Contract.StartCapacity", 0.4),
+                ("Contract.WarmAfter", 20000.0),
+                ("Ceilings.Probes", 1.0),
+                ("Balancers", 300.0),
+                ("Ordinal", f64::from(ordinal)),
+                more,
+            ];
+            let mut desk = Desk::new(&cold, 0);
+            desk.pass(3000.0 + f64::from(ordinal % 7));
+            desk.list(false, vec![engine(0, Stage::Running, Some(2900.0))]);
+            desk.cost = Some(400.0);
+            for _ in 0..20 {
+                let (before, id) = (desk.sent.len(), desk.take(LOOKUP, 11, None));
+                desk.pass(500.0);
+                if desk.sent.len() > before {
+                    desk.settle(id, 0, Verdict::Done, 450.0);
+                }
+                desk.pass(500.0);
+            }
+            ledger.extend(desk.sent.iter().map(|(when, _)| when));
+        }
+        let budget: f64 = 2.0 * 0.4 * 8.0 * 1000.0 / 400.0;
+        let within = |from: &f64| ledger.iter().filter(|when| (*from..from + 1000.0).contains(*when)).count();
+        let fullest = ledger.iter().map(within).max().unwrap_or(0);
+        assert!(fullest as f64 <= budget + 2.0 * budget.sqrt() + 2.0, "{case}: {fullest} jobs in a window");
+        lines +=
+            &format!("{case}: {} jobs, {fullest} in a window, budget {budget} at the start\n", ledger.len());
+    }
+    expect![[r#"
+        no probes: 108 jobs, 12 in a window, budget 16 at the start
+        no load in reports: 108 jobs, 12 in a window, budget 16 at the start
+    "#]]
+    .assert_eq(&lines);
+}
+
 /// What a jam holds of a gateway's jobs is no reason to leave a cold engine idle: on its turn there the cold budget
 /// alone says how much it may send.
 #[test]
@@ -1251,7 +1299,7 @@
     );
 }
 
-/// Engines, table groups and keys may be ever new: what can't matter any more is forgotten, what is open is not.
+/// Held jobs that no room would help, since their key's turn is another's, are no line that holds all others.
 #[test]
 fn a_job_that_waits_for_its_turn_is_no_line_for_room() {
     let mut desk = Desk::new(&[("Classes.3.Aim", 60000.0)], 2);
@@ -1271,6 +1319,7 @@
     expect!["sent 31"].assert_eq(&format!("sent {sent}"));
 }
 
+/// Engines, table groups and keys may be ever new: what can't matter any more is forgotten, what is open is not.
 #[test]
 fn nothing_grows_with_what_is_ever_new() {
     let mut desk = Desk::new(&[("Contract.OrderPause", 300.0)], 2);
