Tests: turns without load reports and the budget's far end, each guard removed once

Removing them one by one found three parts of the last changes that no test failed without: the list of cold engines by `share_below_job`, the bound that a turn may pass, and dispatches kept past the budget's window. No other test changed.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -483,6 +483,33 @@
     );
 }
 
+/// A dispatch at the far end of the window is still known when the next one is counted.
+#[test]
+fn a_budget_remembers_the_far_end_of_its_window() {
+    let budget =
+        [("Contract.BudgetWindow", 1000.0), ("Contract.SpareAttempts", 2.0), ("Contract.ExtraRatio", 0.0)];
+    let mut desk = Desk::new(&budget, 6);
+    let first = desk.take(LOOKUP, 1, None);
+    desk.settle(first, 0, Verdict::Error, 1.0);
+    desk.pass(1000.0);
+    let further: Vec<u32> = (2..4).map(|group| desk.take(LOOKUP, group, None)).collect();
+    further.into_iter().for_each(|job| desk.settle(job, 0, Verdict::Error, 1.0));
+    desk.pass(100.0);
+    same(
+        desk,
+        expect![[r#"
+        0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]:
+        0     take 0: send 0 to 0
+        0     Error 0.0: send 0 to 1
+        1000  take 1: send 1 to 4
+        1000  take 2: send 2 to 2
+        1000  Error 1.0: send 1 to 3
+        1000  Error 2.0:
+        1010  : send 2 to 0
+    "#]],
+    );
+}
+
 #[test]
 fn the_final_answer_comes_before_the_client_leaves_and_late_outcomes_change_nothing() {
     let mut desk = Desk::new(&[], 2);
@@ -1161,6 +1188,46 @@
     .assert_eq(&lines);
 }
 
+/// Without load reports, too, a gateway puts the cold engine first on its turn, and sends there past its own share of it.
+#[test]
+fn a_turn_without_load_reports_comes_first_and_passes_the_share() {
+    let mut lines = String::new();
+    for (jam, took) in [(false, 100.0), (true, 100.0), (true, 600.0)] {
+        let cold = [
+            ("Contract.FallMultiple", 2.0),
+            ("Contract.OverloadFor", 2000.0),
+            ("Contract.StartCapacity", 0.4),
+            ("Contract.WarmAfter", 20000.0),
+            ("Balancers", 20.0),
+        ];
+        let mut desk = Desk::new(&cold, 4);
+        desk.bill = Some(100.0);
+        for group in 0..30 {
+            let id = desk.take(LOOKUP, group, None);
+            desk.pass(100.0);
+            desk.settle(id, 0, Verdict::Done, took);
+        }
+        desk.list(false, vec![engine(8, Stage::Running, Some(desk.now - 100.0))]);
+        desk.sent.clear();
+        for group in 0..100 {
+            let (before, id) = (desk.sent.len(), desk.take(LOOKUP, group, None));
+            desk.pass(100.0);
+            if !jam && desk.sent.len() > before {
+                desk.settle(id, 0, Verdict::Done, 100.0);
+            }
+        }
+        let sent = |cold| desk.sent.iter().filter(|(_, to)| (*to == 8) == cold).count();
+        lines +=
+            &format!("jam {jam}, {took} ms: {} to the cold engine, {} to others\n", sent(true), sent(false));
+    }
+    expect![[r#"
+        jam false, 100 ms: 5 to the cold engine, 95 to others
+        jam true, 100 ms: 14 to the cold engine, 13 to others
+        jam true, 600 ms: 14 to the cold engine, 4 to others
+    "#]]
+    .assert_eq(&lines);
+}
+
 /// What a jam holds of a gateway's jobs is no reason to leave a cold engine idle: on its turn there the cold budget
 /// alone says how much it may send.
 #[test]
