--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -47,6 +47,35 @@
     .assert_eq(&trace.join("\n"));
 }
 
+/// A connection that was accepted during a stop and has not carried a request yet is kept for its first one as long as
+/// the stop allows: closing it would lose a request that is on its way.
+#[test]
+fn a_fresh_connection_waits_for_its_first_request_during_a_stop() {
+    let (engines, _bus, mut program, mut resting) = one_engine();
+    resting.is_well(1);
+    assert_eq!(resting.next(), "1: well true");
+    program.signal("TERM");
+    program.logged("stopping");
+    let mut fresh = program.client();
+    // The stop has come to the point from which it closes what rests.
+    assert_eq!(resting.next(), "closed");
+    fresh.ask(2, "lookup", 20_000);
+    let mut trace = vec![match engines.soon() {
+        Some(seen) => {
+            seen.says("HIT", "-", "taken");
+            fresh.next()
+        }
+        None => "never sent".to_string(),
+    }];
+    trace.push(fresh.next());
+    trace.push(program.child.wait().unwrap().to_string());
+    expect![[r#"
+        2: done taken\tb\tc\n
+        closed
+        exit status: 0"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
 /// A request that crosses the close at the end of a stop finds the end of the connection, not a reset: what was
 /// answered before can still be read.
 #[test]
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -528,6 +528,45 @@
     .assert_eq(&trace.join("\n"));
 }
 
+/// An engine's start is stamped by a wall clock that may have been stepped since: a start that is told now, of an engine
+/// that was there a moment ago, is neither an hour old nor an hour ahead.
+#[test]
+fn a_restart_stamped_by_a_stepped_clock_is_a_restart() {
+    const HOUR_MS: i64 = 3_600_000;
+    let mut trace = Vec::new();
+    for stepped_ms in [-HOUR_MS, HOUR_MS] {
+        let (engines, mut bus, _program, mut client) = one_engine();
+        client.ask(1, "load", 3000);
+        let old = engines.next();
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let mut fresh = entry("e0", &engines.addresses[0], "in_service");
+        fresh["startedAtMs"] = json!(unix.as_millis() as i64 + stepped_ms);
+        bus.event(2, false, vec![fresh]);
+        trace.push(client.next());
+        client.ask(2, "lookup", 9000);
+        let new = engines.next();
+        trace.push(format!("{} beside {}", new.word(0), new.is_beside(&old)));
+        // The same start told once more changes nothing.
+        let mut again = entry("e0", &engines.addresses[0], "in_service");
+        again["startedAtMs"] = json!(unix.as_millis() as i64 + stepped_ms);
+        bus.event(3, false, vec![again]);
+        client.is_well(3);
+        trace.push(client.next());
+        new.says("HIT", "-", "from the new process");
+        trace.push(client.next());
+    }
+    expect![[r#"
+        1: Failed why=cancelled
+        REQ beside false
+        3: well true
+        2: done from the new process\tb\tc\n
+        1: Failed why=cancelled
+        REQ beside false
+        3: well true
+        2: done from the new process\tb\tc\n"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
 /// Told to stop, the program is no longer well but answers all that it has taken, and what still comes.
 #[test]
 fn a_planned_stop_answers_all_that_was_taken() {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -963,6 +963,42 @@
     expect!["[7, 0]"].assert_eq(&format!("{sent:?}"));
 }
 
+/// On a fast network a probe takes next to nothing, and a hiccup of some milliseconds is many times that. It is no sign
+/// of load where jobs may take a hundred times as long: an idle pool turns no job away.
+#[test]
+fn a_hiccup_of_a_fast_probe_is_no_load() {
+    let mut desk = Desk::new(
+        &[
+            ("Balancers", 20.0),
+            ("Ceilings.Probes", 1.0),
+            ("Deductions.Probe", 0.01),
+            ("Classes.0.Aim", 300.0),
+        ],
+        40,
+    );
+    (desk.told, desk.field, desk.cost) = (vec![0.02; 40], "load_share", Some(20.0));
+    let mut chance = 0x2545_f491_4f6c_dd1d_u64;
+    let mut answered = 0;
+    for job in 0..200 {
+        desk.probe_ms = (0..40)
+            .map(|_| {
+                chance = chance.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                0.1 + 4.9 * (chance >> 40) as f64 / (1u64 << 24) as f64
+            })
+            .collect();
+        let before = desk.sent.len();
+        let id = desk.take(LOOKUP, job % 17, None);
+        desk.pass(150.0);
+        if desk.sent.len() > before {
+            desk.settle(id, 0, Verdict::Done, 25.0);
+            answered += 1;
+        }
+        desk.pass(50.0);
+    }
+    let throttled = desk.trace.matches("throttle ").count();
+    expect!["200 done, 0 throttled"].assert_eq(&format!("{answered} done, {throttled} throttled"));
+}
+
 #[test]
 fn loads_of_many_gateways_do_not_all_go_to_one_engine() {
     let mut at = [0; 8];
