--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -535,13 +535,15 @@
     const HOUR_MS: i64 = 3_600_000;
     let mut trace = Vec::new();
     for stepped_ms in [-HOUR_MS, HOUR_MS] {
-        let (engines, mut bus, _program, mut client) = one_engine();
-        client.ask(1, "load", 3000);
+        let (engines, mut bus, program, mut client) = one_engine();
+        client.ask(1, "load", 9000);
         let old = engines.next();
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
         let mut fresh = entry("e0", &engines.addresses[0], "in_service");
         fresh["startedAtMs"] = json!(unix.as_millis() as i64 + stepped_ms);
         bus.event(2, false, vec![fresh]);
+        program.logged("event 2");
+        old.says("HIT", "-", "from the old process");
         trace.push(client.next());
         client.ask(2, "lookup", 9000);
         let new = engines.next();
