A connection that has carried no request yet is not closed as resting

Cause: a stop closed, 1.0 s after SIGTERM, every connection with nothing open, also one accepted 0.1 s before whose first request was on its way; LINGER then read that request and dropped it. Ruled out: the listener (accepts to the end of the first second), the module (never heard of the request). The time of a message that has begun counts from its first byte. Before: never sent, closed. After: answered.

--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -22,11 +22,16 @@
 
 /// A connection ends that has been idle for so long: clients close theirs before that.
 const IDLE: Duration = Duration::from_secs(5);
-/// A first message, and the rest of one that has begun, come within this time.
+/// The rest of a message that has begun comes within this time.
 const MESSAGE: Duration = Duration::from_secs(2);
-/// At the limit, connections that owe a message for so long, or have been idle for so long, make room.
-const SILENT: Duration = Duration::from_millis(100);
-const RESTING: Duration = Duration::from_millis(300);
+/// How long a connection may keep the program waiting before it is closed.
+const PATIENCE: Patience = Patience { first: IDLE, rest: MESSAGE, idle: IDLE };
+/// The same at the limit of connections, where others wait for room.
+const PATIENCE_AT_LIMIT: Patience = Patience {
+    first: Duration::from_millis(100),
+    rest: Duration::from_millis(100),
+    idle: Duration::from_millis(300),
+};
 const ROOM: usize = 8; // make room at a time
 const CLOSING: usize = 32; // may be on their way to their end to make room
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
@@ -93,13 +98,22 @@
     piece: Vec<u8>,
 }
 
+/// How long a connection may be silent: before its first message, within a message, and between messages.
+struct Patience {
+    first: Duration,
+    rest: Duration,
+    idle: Duration,
+}
+
 /// A connection as far as it has been read.
 struct Connection {
     client: Arc<Client>,
     bytes: Vec<u8>,
     held: Lease,
-    /// Since when a message is due that has not come whole: the first, or one that has begun.
+    /// Since when a message is due: the first since it was accepted, one that has begun since its first byte.
     owes: Option<Instant>,
+    /// No whole message has come on it: its first request may be on its way.
+    fresh: bool,
     useless: u32,
     /// Nothing is read before this.
     pauses_until: Option<Instant>,
@@ -197,8 +211,9 @@
             if connection.closing.is_some() {
                 self.proceed(number);
             } else {
-                // At the end nobody waits for the rest of a message.
-                let useless = |it: &Connection| it.rests() || now >= steps.answered && it.client.rests();
+                // At the end nobody waits for the rest of a message, or for a first one.
+                let useless =
+                    |it: &Connection| it.rests() && !it.fresh || now >= steps.answered && it.client.rests();
                 if useless(connection) {
                     self.retire(number, useless, "the program stops");
                 }
@@ -248,6 +263,7 @@
             bytes: Vec::new(),
             held,
             owes,
+            fresh: true,
             useless: 0,
             pauses_until: None,
             closing: None,
@@ -341,7 +357,7 @@
 
     /// Closes connections that are of no use any more, and cuts those that don't take their answers.
     fn sweep(&mut self) {
-        let useless = |connection: &Connection| connection.useless_for(MESSAGE, IDLE).is_some();
+        let useless = |connection: &Connection| connection.useless_for(&PATIENCE).is_some();
         for number in self.all.keys().copied().collect::<Vec<usize>>() {
             let Some(connection) = self.all.get(&number) else { continue };
             connection.client.flush();
@@ -366,7 +382,7 @@
         }
         let closing = self.all.values().filter(|connection| connection.closing.is_some()).count();
         let rank = |connection: &Connection| {
-            Some((connection.owes.is_some(), connection.useless_for(SILENT, RESTING)?))
+            Some((connection.owes.is_some(), connection.useless_for(&PATIENCE_AT_LIMIT)?))
         };
         let useless = self.all.iter().filter_map(|(number, connection)| Some((rank(connection)?, *number)));
         let mut useless: Vec<((bool, Duration), usize)> = useless.collect();
@@ -393,13 +409,15 @@
 }
 
 impl Connection {
-    /// How long it has been of no use, if longer than it may owe a message, or be idle.
-    fn useless_for(&self, owing: Duration, idle: Duration) -> Option<Duration> {
+    /// How long it has been of no use, if longer than that is borne.
+    fn useless_for(&self, patience: &Patience) -> Option<Duration> {
         let idle_for = self.client.idle_for().filter(|_| self.closing.is_none())?;
-        match self.owes {
-            Some(since) => Some(since.elapsed()).filter(|time| *time > owing),
-            None => Some(idle_for).filter(|time| *time > idle),
-        }
+        let (silent_for, borne) = match self.owes {
+            Some(since) if self.bytes.is_empty() => (since.elapsed(), patience.first),
+            Some(since) => (since.elapsed(), patience.rest),
+            None => (idle_for, patience.idle),
+        };
+        Some(silent_for).filter(|silent_for| *silent_for > borne)
     }
 
     /// Whether nothing is open on it, nothing is on its way to its client and no message has begun.
@@ -430,6 +448,9 @@
                 continue;
             }
             self.client.speaks();
+            if self.bytes.is_empty() {
+                self.owes = Some(Instant::now());
+            }
             self.bytes.extend_from_slice(&piece[..count]);
         }
         if self.closing.is_some() {
@@ -492,7 +513,7 @@
         self.bytes.drain(..done);
         if done > 0 {
             self.bytes.shrink_to(SMALL);
-            self.owes = None;
+            (self.owes, self.fresh) = (None, false);
         }
         if !self.bytes.is_empty() {
             self.owes.get_or_insert_with(Instant::now);
