Starts of engines are carried over to the monotonic clock when the list tells them

Cause: startedAtMs was taken for a moment of the program's clock, which showed Unix time frozen at the program's start (service/clock.rs, wire/bus.rs). After a step of the wall clock by an hour back a new engine counted as warm at once (rule 4) and its old connections as its own; after one forward it stayed cold for an hour. Ruled out: deadlines, windows and waits (all on the monotonic clock before, too). Change: service/start_clock.rs remembers the offsets between both clocks and reads a stamp by the one that makes the engine youngest without lying ahead, bounded by when the list was last complete without it; a start once told stays where it was. Moments no longer show Unix time; stamps have a type of their own. Before: the old process's answer counted as the new one's. After: cancelled, and the next job goes to a new connection. Not covered: a stamp from before a step that is met in the list of the program's own start.

--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -6,7 +6,8 @@
 use crate::memory::engines::Engine;
 use crate::memory::owners::Owners;
 use crate::service::clock;
-use crate::wire::bus::Event;
+use crate::service::start_clock::StartClock;
+use crate::wire::bus::{Event, UnixTime};
 use crossbeam_channel::{Receiver, Sender, bounded, select};
 use pebblevane::interface::*;
 use pebblevane::logic::Logic;
@@ -46,7 +47,11 @@
         engine: EngineId,
         outcome: Outcome,
     },
-    Listed(Event),
+    /// The list has changed; when it was last known to be complete before that.
+    Listed {
+        event: Event,
+        complete: Option<Moment>,
+    },
     ListLost,
     Stopping {
         by: Moment,
@@ -114,6 +119,7 @@
                 zones,
                 machines,
                 owners,
+                start_clock: StartClock::default(),
             };
             owner.listed_at_start(known);
             let _ = ready.send(());
@@ -155,8 +161,8 @@
         // Where too many calls wait, the thread is awake and looks before the next of them.
         let _ = self.calls.try_send(Call::Look);
     }
-    pub fn listed(&self, event: Event) {
-        let _ = self.urgent.send(Call::Listed(event));
+    pub fn listed(&self, event: Event, complete: Option<Moment>) {
+        let _ = self.urgent.send(Call::Listed { event, complete });
     }
     pub fn list_lost(&self) {
         let _ = self.urgent.send(Call::ListLost);
@@ -194,15 +200,23 @@
     zones: Vec<String>,
     machines: Vec<String>,
     owners: Arc<Owners>,
+    start_clock: StartClock,
 }
 
 struct Known {
     engine: Arc<Engine>,
     address: SocketAddr,
-    started: Option<Moment>,
+    started: Option<Start>,
     stage: Stage,
 }
 
+/// A start of an engine: as the list stamps it, and when that was.
+#[derive(Clone, Copy)]
+struct Start {
+    stamp: UnixTime,
+    at: Moment,
+}
+
 impl ModuleThread {
     fn run(mut self, inbox: &Receiver<Call>, news: &Receiver<Call>) {
         loop {
@@ -215,6 +229,7 @@
                 }
             });
             let now = clock::now();
+            self.start_clock.observe(now, StartClock::wall());
             let left = std::mem::take(&mut *locked(&self.handle.left));
             for id in left {
                 if let Some(open) = self.jobs.get_mut(&id) {
@@ -263,7 +278,7 @@
             }
             Call::Progress { id, copy, note } => self.logic.progress(now, id, copy, note),
             Call::Probed { engine, outcome } => self.logic.probed(now, engine, outcome),
-            Call::Listed(event) => return self.listed(now, event),
+            Call::Listed { event, complete } => return self.listed(now, event, complete),
             Call::ListLost => self.logic.list_refused(now),
             Call::Stopping { by } => self.logic.stopping(now, by),
             Call::Look => return,
@@ -343,10 +358,11 @@
             all.extend(event.engines.into_iter().map(|entry| (entry.name.clone(), entry)));
         }
         let engines = all.into_values().collect();
-        self.listed(clock::now(), Event { offset: 0, complete: true, engines, odd: vec![] });
+        self.listed(clock::now(), Event { offset: 0, complete: true, engines, odd: vec![] }, None);
     }
 
-    fn listed(&mut self, now: Moment, event: Event) {
+    fn listed(&mut self, now: Moment, event: Event, complete: Option<Moment>) {
+        self.start_clock.observe(now, StartClock::wall());
         let position = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let mut listings = Vec::with_capacity(event.engines.len());
         let mut named = Vec::new();
@@ -357,14 +373,15 @@
             };
             let id = self.numbers.number(&entry.name);
             named.push(id);
-            self.know(id, address, entry.stage, entry.started);
+            let started = entry.started.map(|stamp| self.start_of(id, stamp, now, complete));
+            self.know(id, address, entry.stage, started);
             listings.push(Listing {
                 engine: id,
                 machine: position(&self.machines, &entry.machine).unwrap_or(usize::MAX),
                 location: position(&self.zones, &entry.zone).unwrap_or(usize::MAX),
                 cell: entry.cell,
                 stage: entry.stage,
-                ready_at: entry.started,
+                ready_at: started.map(|start| start.at),
                 capacity_hint: entry.weight,
                 name: entry.name,
             });
@@ -383,12 +400,20 @@
         self.carry_out(decided);
     }
 
+    /// A start that was told before stays where it was on the program's clock.
+    fn start_of(&self, id: EngineId, stamp: UnixTime, now: Moment, complete: Option<Moment>) -> Start {
+        let told = self.engines.get(&id).and_then(|known| known.started);
+        let carried = || Start { stamp, at: self.start_clock.started(stamp, now, complete) };
+        told.filter(|start| start.stamp == stamp).unwrap_or_else(carried)
+    }
+
     /// Keeps the handle on an engine in step with the list.
-    fn know(&mut self, id: EngineId, address: SocketAddr, stage: Stage, started: Option<Moment>) {
+    fn know(&mut self, id: EngineId, address: SocketAddr, stage: Stage, started: Option<Start>) {
         let same = |known: &&mut Known| known.address == address && known.stage != Stage::Gone;
         if let Some(known) = self.engines.get_mut(&id).filter(same) {
-            if let Some(at) = started.filter(|_| known.started != started) {
-                known.engine.restarted(at);
+            let before = known.started.map(|start| start.stamp);
+            if let Some(start) = started.filter(|start| before != Some(start.stamp)) {
+                known.engine.restarted(start.at);
             }
             (known.started, known.stage) = (started, stage);
         } else {
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -3,8 +3,10 @@
 
 use crate::memory::counts;
 use crate::module::Module;
+use crate::service::clock;
 use crate::wire::bus::{self, Line};
 use crossbeam_channel::{Receiver, Sender, bounded};
+use pebblevane::interface::Moment;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -67,10 +69,10 @@
 
     pub fn follow(&self, module: &Module, mut last: u64, seed: u64) {
         let mut spread = seed | 1;
-        let (mut pause, mut gap) = (PAUSE_MS, None);
+        let (mut pause, mut gap, mut complete) = (PAUSE_MS, None, None);
         loop {
             let (before, begun) = (last, Instant::now());
-            let why = listen(module, self.connect(last), &mut last, &mut gap);
+            let why = listen(module, self.connect(last), &mut last, &mut gap, &mut complete);
             self.at().stream = None;
             tracing::info!("event bus: {why}; the last event is {last}");
             module.list_lost();
@@ -116,12 +118,13 @@
     }
 }
 
-/// Reads one connection to its end; says why it ended.
+/// Reads one connection to its end; says why it ended. `complete` is when the list was last known to be complete.
 fn listen(
     module: &Module,
     connected: std::io::Result<TcpStream>,
     last: &mut u64,
     gap: &mut Option<u64>,
+    complete: &mut Option<Moment>,
 ) -> String {
     let mut stream = match connected {
         Ok(stream) => BufReader::new(stream),
@@ -135,7 +138,7 @@
         within = SILENCE;
         match bus::line(&String::from_utf8_lossy(&bytes)) {
             Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
-            Ok(Line::Beat(_)) => {}
+            Ok(Line::Beat(_)) => *complete = Some(clock::now()),
             Ok(Line::Event(event)) if event.offset <= *last => {}
             // Where the same gap comes again, what is missing can't be had: better to miss it than all that follows.
             Ok(Line::Event(event))
@@ -149,7 +152,7 @@
                     counts::ODD_EVENTS.add();
                     tracing::warn!("event bus: an entry of event {last} is passed over: {why}");
                 }
-                module.listed(event);
+                module.listed(event, *complete);
             }
             Err(why) => {
                 counts::ODD_EVENTS.add();
--- a/crates/server/src/service/clock.rs
+++ b/crates/server/src/service/clock.rs
@@ -1,22 +1,17 @@
-//! The one clock. It shows Unix time at the program's start and never goes backwards after that, so that
-//! Unix times of the event bus and the module's moments are the same thing.
+//! The program's one clock: monotonic, whatever is done to the wall clock. Its zero means nothing; it begins late enough
+//! for a moment of zero to be long ago.
 
 use pebblevane::interface::Moment;
 use std::sync::OnceLock;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-static START: OnceLock<(Instant, i64)> = OnceLock::new();
+const FIRST: Moment = Moment(1_000_000_000_000);
 
-fn start() -> (Instant, i64) {
-    *START.get_or_init(|| {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        (Instant::now(), unix.as_micros() as i64)
-    })
-}
+static START: OnceLock<Instant> = OnceLock::new();
 
 pub fn now() -> Moment {
-    let (instant, unix) = start();
-    Moment(unix + instant.elapsed().as_micros() as i64)
+    let elapsed = START.get_or_init(Instant::now).elapsed();
+    Moment(FIRST.0 + elapsed.as_micros() as i64)
 }
 
 /// The time until then.
--- a/crates/server/src/service/mod.rs
+++ b/crates/server/src/service/mod.rs
@@ -6,3 +6,4 @@
 pub mod config;
 pub mod reload;
 pub mod shutdown;
+pub mod start_clock;
--- a/crates/server/src/wire/bus.rs
+++ b/crates/server/src/wire/bus.rs
@@ -1,9 +1,19 @@
 //! The lines of the event bus: numbered changes of the engine list, and a heartbeat.
 
-use pebblevane::interface::{Moment, Stage};
+use pebblevane::interface::Stage;
 use pebblevane_door::{Fields, Told};
 use serde_json::Value as Json;
 
+/// Wall-clock time in microseconds of Unix time, as whoever stamped it read it: not a time of the program's own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnixTime(pub i64);
+
+impl UnixTime {
+    fn from_ms(ms: f64) -> UnixTime {
+        UnixTime((ms * 1000.0).round() as i64)
+    }
+}
+
 /// One line of the bus.
 #[derive(Debug, PartialEq)]
 pub enum Line {
@@ -31,7 +41,7 @@
     pub cell: usize,
     pub stage: Stage,
     pub weight: f64,
-    pub started: Option<Moment>,
+    pub started: Option<UnixTime>,
 }
 
 pub fn line(line: &str) -> Told<Line> {
@@ -74,7 +84,6 @@
             _ => return Err(entry.wrong("lifecycle", "in_service, terminating or terminated")),
         },
         weight: entry.number_or("weight", 1.0)?,
-        // The module's clock shows Unix time, so that this needs no conversion.
-        started: (started > 0.0).then(|| Moment::from_ms(started)),
+        started: (started > 0.0).then(|| UnixTime::from_ms(started)),
     })
 }
--- /dev/null
+++ b/crates/server/tests/start_clock.rs
@@ -0,0 +1,77 @@
+//! Starts of engines, stamped by wall clocks that are stepped, on the monotonic clock.
+
+#[allow(dead_code)] // the program uses what these tests don't
+#[path = "../src/service"]
+mod service {
+    pub mod start_clock;
+}
+#[allow(dead_code)]
+#[path = "../src/wire/mod.rs"]
+mod wire;
+
+use expect_test::expect;
+use pebblevane::interface::Moment;
+use service::start_clock::StartClock;
+use wire::bus::UnixTime;
+
+const SECOND: i64 = 1_000_000;
+/// What the wall clock shows over the monotonic one before any step.
+const WALL: i64 = 1_700_000_000 * SECOND;
+const NOW: i64 = 500 * SECOND;
+
+/// How old an engine is by a clock that began at second 400, was stepped at second 497 and is read at second 500, if
+/// its stamp was `ago` seconds before that by a wall clock `stamped` seconds ahead of the first one.
+fn age(steps: &[i64], stamped: i64, ago: i64, complete: Option<i64>) -> f64 {
+    let mut clock = StartClock::default();
+    clock.observe(Moment(400 * SECOND), UnixTime(WALL + 400 * SECOND));
+    for (at, step) in (497..).zip(steps) {
+        clock.observe(Moment(at * SECOND), UnixTime(WALL + (at + step) * SECOND));
+    }
+    let stamp = UnixTime(WALL + NOW + (stamped - ago) * SECOND);
+    let started = clock.started(stamp, Moment(NOW), complete.map(|at| Moment(at * SECOND)));
+    (Moment(NOW) - started).ms() / 1000.0
+}
+
+#[test]
+fn a_start_keeps_its_age_whichever_clock_was_stepped() {
+    let mut trace = String::new();
+    for step in [0, 5, -5, 3600, -3600] {
+        // This machine's clock and the stamping one were stepped together, or one of them alone.
+        for (what, own, stamped) in [("both", step, step), ("own", step, 0), ("other", 0, step)] {
+            let ages = [1, 2, 8, 20].map(|ago| age(&[own], stamped, ago, Some(499)));
+            trace += &format!("step {step:>5} {what:<5} of 1, 2, 8, 20 s: {ages:?}\n");
+        }
+    }
+    expect![[r#"
+        step     0 both  of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step     0 own   of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step     0 other of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step     5 both  of 1, 2, 8, 20 s: [1.0, 2.0, 3.0, 0.0]
+        step     5 own   of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step     5 other of 1, 2, 8, 20 s: [0.0, 0.0, 3.0, 0.0]
+        step    -5 both  of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step    -5 own   of 1, 2, 8, 20 s: [1.0, 2.0, 3.0, 0.0]
+        step    -5 other of 1, 2, 8, 20 s: [6.0, 7.0, 0.0, 0.0]
+        step  3600 both  of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step  3600 own   of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step  3600 other of 1, 2, 8, 20 s: [0.0, 0.0, 0.0, 0.0]
+        step -3600 both  of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step -3600 own   of 1, 2, 8, 20 s: [1.0, 2.0, 8.0, 0.0]
+        step -3600 other of 1, 2, 8, 20 s: [0.0, 0.0, 0.0, 0.0]
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Without a list that was complete a while ago, as at the program's start, a stamp is believed as far as it is past.
+#[test]
+fn at_the_start_a_stamp_is_believed() {
+    let ages = [-3600, -1, 0, 20, 3600].map(|ago| age(&[], 0, ago, None));
+    expect!["[0.0, 0.0, 0.0, 20.0, 3600.0]"].assert_eq(&format!("{ages:?}"));
+}
+
+/// Many steps leave a bounded memory, of the last ones.
+#[test]
+fn a_clock_that_is_stepped_all_the_time_keeps_its_last_steps() {
+    let steps: Vec<i64> = (0..40).map(|step| step * 7).collect();
+    expect!["1.0"].assert_eq(&format!("{:.1}", age(&steps, 39 * 7, 1, Some(499))));
+}
