A slow probe tells load only past the scatter of calm probes; engines stay cold a window longer

Cause: Logic::probed read a probe's time over the least ever seen at the location as processor use, whatever its scale: 4.6 ms after 0.12 ms was a use of 20, and a probe as fast as ever was one of 0.5. Ruled out: reports (0.02 in use), the price of probes. Change: the scatter of probes is learnt from one probe to the next at an engine that says it is not busy; a probe within four mean scatters of the least, or before four differences are known, says nothing. Before: 148 of 200 jobs throttled at 40 idle engines, probes of 0.1 to 5 ms; after: none (a_hiccup_of_a_fast_probe_is_no_load).

That use of 0.5 hid a second fault (rule 4): when an engine's warm-up ends, all gateways send what waits at once, some with clocks ahead, into windows that begin while it is cold. The ledger of 300 gateways (60 ms apart) had 1.09 times the budget in its fullest window before, 180 jobs of 151.8 + 26.6 (one past the bound) with the first change alone, 0.56 times with both: cold for one window longer.

Tests changed: a_probe_that_takes_long_... looks at 80 jobs in four parts, as one probe no longer tells; the slow engine gets none from the second part on, as before. a_fleet_of_gateways_with_few_jobs...: its 50 heavy jobs all left when the engine had become warm; now all 39 s are cold and half of the jobs heavy (60 small, 8 heavy, with and without this change).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,10 @@
 const BEAT: Span = Span(250_000); // pace of all upkeep
 const PLACE_EVERY: Span = Span(10_000); // pace of looking at held jobs while answers come back
 const PROBES_A_JOB: f64 = 0.25;
+const PROBE_CALM: f64 = 0.5; // below this told use a probe's time varies by itself, not by load
+const PROBE_SCATTER_OVER: f64 = 32.0; // differences behind the mean scatter of probes at a location
+const PROBE_SCATTER_KNOWN: u32 = 4; // and the fewest that tell it
+const PROBE_SCATTERS: f64 = 4.0; // a probe within so many mean scatters of the least says nothing of load
 const REPORT_FRESH: Span = Span(2_500_000); // older reports say nothing: the own figure stands in
 const RECENT: Span = Span(5_000_000); // how far back a fading sum looks
 const THREADS_A_CORE: f64 = 2.0; // the thread bound at the start, over the gateway count
@@ -90,6 +94,8 @@
     traffic: Traffic,
     /// The least time of a probe by location; rises slowly.
     probe_least: BTreeMap<usize, f64>,
+    /// How much probes of one engine that is not busy vary from one to the next, by location (ms).
+    probe_scatter: BTreeMap<usize, Scatter>,
     asks: f64, // probes of pairs that may still be made
     /// The pool is past its knee: jobs that find no engine under its bound are held.
     tight: bool,
@@ -288,10 +294,22 @@
         let (warm_after, done) = (self.span("Contract.WarmAfter"), outcome.verdict == Verdict::Done);
         let heeded = |engine: &&mut Engine| done && (engine.whole || engine.jobs.is_none());
         if let Some(engine) = self.engines.get_mut(&id).filter(heeded) {
-            // Processor use stands still past full and falls past memory: the probe's own time tells more.
+            // Processor use stands still past full and falls past memory: the probe's own time tells more, once it is
+            // known how much that varies where nothing is the matter.
+            let took = outcome.took.ms();
             let least = self.probe_least.entry(engine.listing.location).or_insert(f64::INFINITY);
-            *least = (*least * 1.0005).min(outcome.took.ms()).max(1e-3);
-            engine.processor = engine.processor.map(|told| told.max(outcome.took.ms() / *least / PACE_BAD));
+            *least = (*least * 1.0005).min(took).max(1e-3);
+            let scatter = self.probe_scatter.entry(engine.listing.location).or_default();
+            let calm = engine.processor.is_some_and(|told| told < PROBE_CALM);
+            let last = engine.calm_probe.take();
+            engine.calm_probe = calm.then_some(took);
+            if let Some((last, took)) = last.zip(engine.calm_probe) {
+                scatter.add((took - last).abs(), PROBE_SCATTER_OVER);
+            }
+            let told_by_time =
+                scatter.count >= PROBE_SCATTER_KNOWN && took > *least + PROBE_SCATTERS * scatter.mean;
+            let by_time = if told_by_time { took / *least / PACE_BAD } else { 0.0 };
+            engine.processor = engine.processor.map(|told| told.max(by_time));
             // Many jobs and then none: it died unseen by the list and is cold, however idle it looks.
             let emptied = before > engine.cores / 2.0 && engine.jobs.is_some_and(|jobs| jobs < 1.0);
             if emptied && engine.listing.ready_at.is_none_or(|ready| ready + warm_after < now) {
@@ -463,7 +481,10 @@
     /// started may have forgotten what it sent, and waits.
     fn slow_start_budget(&self, engine: &Engine) -> f64 {
         let (multiple, window) = (self.contract("Contract.FallMultiple"), self.span("Contract.OverloadFor"));
-        let warm = |ready: &Moment| self.now >= *ready + self.span("Contract.WarmAfter") || multiple <= 0.0;
+        // No window that begins while it is cold may meet what is sent to a warm one: all become warm at once, and
+        // clocks differ.
+        let warm_after = self.span("Contract.WarmAfter") + window;
+        let warm = |ready: &Moment| self.now >= *ready + warm_after || multiple <= 0.0;
         let Some(ready) = engine.listing.ready_at.filter(|ready| !warm(ready)) else { return f64::INFINITY };
         let sent = engine.sent.since(self.now - window);
         let whole = |at| multiple * self.warmth(engine, at) * engine.cores * window.ms();
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,22 @@
     }
 }
 
+/// A mean of how much something varies from one time to the next.
+#[derive(Clone, Copy, Default)]
+pub struct Scatter {
+    pub mean: f64,
+    /// Differences seen.
+    pub count: u32,
+}
+
+impl Scatter {
+    /// Adds a difference to the mean of about the last `over` of them.
+    pub fn add(&mut self, difference: f64, over: f64) {
+        self.count = self.count.saturating_add(1);
+        self.mean += (difference - self.mean) / f64::from(self.count).min(over);
+    }
+}
+
 /// What happened within some span: kept singly, for the rules that count in a sliding window.
 #[derive(Default)]
 pub struct Recent(VecDeque<(Moment, f64)>);
@@ -271,6 +287,8 @@
     pub heard: Moment,
     pub probe_out: bool,
     pub probed: Moment,
+    /// How long the last probe took (ms), if the engine said that it was not busy.
+    pub calm_probe: Option<f64>,
     /// Usual work sent of late, for the cold budget; and work sent, fading slowly.
     pub sent: Recent,
     pub work: Fading,
