--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -415,3 +415,59 @@
         seen = next;
     }
 }
+
+/// Jobs that wait for an engine, or are turned away, need no thread each: a gateway that is short of its core would
+/// give its answers late for the threads' sake.
+#[test]
+fn jobs_that_are_not_sent_need_no_thread() {
+    const MANY: u32 = 300;
+    let (engines, bus) = (Engines::start(1), Bus::start());
+    let mut none = config(&engines, &bus.address);
+    none["known"]["batch"] = json!([event(1, true, vec![entry("e0", &engines.addresses[0], "terminating")])]);
+    let program = Program::with(none);
+    let mut clients: Vec<Client> = (0..MANY / 30).map(|_| program.client()).collect();
+    for message in 1..=MANY {
+        clients[message as usize % (MANY as usize / 30)].ask(message, "lookup", 1500);
+    }
+    let threads = || std::fs::read_dir(format!("/proc/{}/task", program.child.id())).unwrap().count();
+    clients.iter_mut().for_each(|client| client.is_well(MANY + 1));
+    let mut most = 0;
+    for client in &mut clients {
+        while !client.next().contains("well") {}
+        most = most.max(threads());
+    }
+    let few = if most <= 16 { "few".to_string() } else { most.to_string() };
+    let mut answers: Vec<String> = Vec::new();
+    for client in &mut clients {
+        answers.extend((0..30).map(|_| client.next()));
+    }
+    let busy = answers.iter().filter(|answer| answer.contains(": Busy")).count();
+    expect!["few threads, 300 of 300 turned away"]
+        .assert_eq(&format!("{few} threads, {busy} of {MANY} turned away"));
+}
+
+/// A program that got no processor for a while finds requests whose time has run on: what it tells an engine is no more
+/// than the client has left, and what is over is not sent at all.
+#[test]
+fn the_time_that_a_request_waited_to_be_read_counts() {
+    let (engines, _bus, program, mut client) = one_engine();
+    let mut other = program.client();
+    for client in [&mut client, &mut other] {
+        client.is_well(1);
+        assert_eq!(client.next(), "1: well true");
+    }
+    let asked = program.held(|| {
+        let asked = Instant::now();
+        client.ask(2, "lookup", 700);
+        other.ask(3, "load", 5000);
+        std::thread::sleep(Duration::from_millis(900));
+        asked
+    });
+    let seen = engines.next();
+    let limit = seen.line.split_once("limit=").unwrap().1;
+    let limit: u128 = limit[..limit.find([',', ' ']).unwrap()].parse().unwrap();
+    let left = 5000 - asked.elapsed().as_millis();
+    let told = if limit <= left + 150 { "within" } else { "past" };
+    let trace = format!("{} {} {told} what is left; {}", seen.word(0), seen.word(1), client.next());
+    expect!["REQ 0000000000000003 within what is left; 2: Busy w=1000"].assert_eq(&trace);
+}
