--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -1,9 +1,11 @@
 //! A job's life, from the client's request to its answer.
 
 use crate::memory::budget::Lease;
-use crate::memory::clients::{CancelToken, Client, Name};
+use crate::memory::clients::CancelToken;
 use crate::memory::counts;
-use crate::memory::engines::{DispatchEvent, Out, Request};
+use crate::memory::dispatch_ledger::DispatchLedger;
+use crate::memory::engines::{DispatchEvent, DispatchHandle, Request};
+use crate::memory::responder::Responder;
 use crate::module::{Module, Step};
 use crate::service::clock;
 use crate::wire::client::Reply;
@@ -24,27 +26,36 @@
 const MOST_PAGES: u32 = 4096;
 const AHEAD: u32 = 8;
 
-pub struct JobTask {
-    pub id: JobId,
-    pub steps: Receiver<Step>,
-    pub message: u32,
-    /// The client's own id of the job, and its hold on it until it is answered.
+/// A job as it was admitted: what is needed to send it and to answer it, and what it holds of the program's limits.
+pub struct AdmittedJob {
+    /// The client's own id of the job.
     pub name: Box<str>,
-    pub taken: Option<Name>,
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
-    pub client: Arc<Client>,
     pub wanted: Arc<CancelToken>,
-    pub module: Arc<Module>,
+    pub responder: Arc<Responder>,
+    pub ledger: Arc<DispatchLedger>,
     /// The bytes that the job may keep.
-    pub lease: Lease,
-    pub ending: Option<Ending>,
+    pub bytes: Lease,
+    /// Its place among the open jobs.
+    pub _place: Lease,
+}
+
+/// A job of which something is sent, in a thread of its own.
+pub struct JobTask {
+    id: JobId,
+    steps: Receiver<Step>,
+    job: AdmittedJob,
+    module: Arc<Module>,
+    ending: Option<Ending>,
 }
 
 /// A dispatch that is out.
 struct Running {
-    out: Out,
+    out: DispatchHandle,
     copy: u32,
+    /// Its engine has said that it works on it.
+    begun: bool,
     sent: Moment,
     ends: Moment,
     /// Until when it may leave, if it had not when that was last looked at.
@@ -57,7 +68,8 @@
     /// Ends once that is written there.
     given_up: Receiver<()>,
     until: Moment,
-    out: Out,
+    out: DispatchHandle,
+    sent: Moment,
     copy: u32,
     outcome: Outcome,
 }
@@ -75,6 +87,11 @@
 }
 
 impl Running {
+    /// Whether its engine has shown that it runs or ran.
+    fn has_begun(&self) -> bool {
+        self.begun || self.result.is_some()
+    }
+
     /// When something is due, whatever comes.
     fn due(&self) -> Moment {
         self.begin_by.map_or(self.ends, |begin_by| begin_by.min(self.ends))
@@ -88,9 +105,12 @@
 }
 
 impl JobTask {
+    pub fn new(id: JobId, steps: Receiver<Step>, job: AdmittedJob, module: Arc<Module>) -> JobTask {
+        JobTask { id, steps, job, module, ending: None }
+    }
+
     pub fn run(mut self) {
         let mut running: Option<Running> = None;
-        let mut result = Vec::new();
         loop {
             let (nothing, nobody) = (never(), never());
             let words = running.as_ref().map_or(&nothing, |running| &running.out.words);
@@ -107,11 +127,12 @@
                     Ok(Step::Dispatch { engine, copy, limit, begin_by, rank }) => {
                         let sent = clock::now();
                         let ends = sent + limit;
-                        let (id, class) = (self.name.clone(), self.class.clone());
-                        let (statement, wanted) = (self.statement.clone(), self.wanted.clone());
-                        let request = Request { id, class, ends, begin_by, wanted, rank, statement };
+                        let (id, class) = (self.job.name.clone(), self.job.class.clone());
+                        let (statement, wanted) = (self.job.statement.clone(), self.job.wanted.clone());
+                        let ledger = self.job.ledger.clone();
+                        let request = Request { id, class, ends, begin_by, wanted, ledger, rank, statement };
                         let (out, begin_by) = (engine.send(request), Some(begin_by));
-                        running = Some(Running { out, copy, sent, ends, begin_by, result: None });
+                        running = Some(Running { out, copy, begun: false, sent, ends, begin_by, result: None });
                     }
                     Ok(Step::Recall { copy }) => {
                         if let Some(recalled) = running.take_if(|running| running.copy == copy) {
@@ -121,37 +142,30 @@
                             self.end(recalled, verdict, never_left, None, Report::new());
                         }
                     }
-                    Ok(Step::Deliver) => {
-                        counts::DONE.add();
-                        self.answer(&Reply::Done(&result));
-                    }
-                    Ok(Step::Answer(Answer::Throttled(pause))) => {
-                        counts::THROTTLED.add();
-                        self.answer(&Reply::Throttled(pause));
-                    }
-                    Ok(Step::Answer(Answer::Cancelled)) => {
-                        counts::CANCELLED.add();
-                        self.answer(&Reply::Failed("cancelled"));
-                    }
                     Ok(Step::Released) | Err(_) => return,
                 },
                 recv(words) -> heard => {
                     let Some(mut at) = running.take() else { continue };
                     match heard {
                         Ok(DispatchEvent::Word(Word::Info(note))) => {
+                            at.begun |= matches!(note, Some(Note::Share(_) | Note::Spills(_)));
                             note.into_iter().for_each(|note| self.module.progress(self.id, at.copy, note));
                             running = Some(at);
                         }
                         Ok(DispatchEvent::Word(Word::Hit { page, sheets, bill, report })) => {
                             let bill = bill.map(|(work, memory)| (Span::from_ms(work), memory));
                             at.result = Some(Pages::begin(page, sheets, bill, report));
-                            running = self.collect(at, &mut result);
+                            running = self.collect(at);
                         }
                         Ok(DispatchEvent::Word(Word::Part { page, sheet })) => {
                             if let Some(pages) = &mut at.result {
                                 pages.add(page, sheet);
                             }
-                            running = self.collect(at, &mut result);
+                            running = self.collect(at);
+                        }
+                        // Neither proves that nothing ran where the engine has said otherwise before.
+                        Ok(DispatchEvent::Word(Word::Shed(report) | Word::Late(report))) if at.has_begun() => {
+                            self.settle(at, Verdict::Error, None, report);
                         }
                         Ok(DispatchEvent::Word(Word::Shed(report))) => self.settle(at, Verdict::Full, None, report),
                         Ok(DispatchEvent::Word(Word::Late(report))) => self.settle(at, Verdict::Void, None, report),
@@ -176,17 +190,11 @@
         }
     }
 
-    /// The job's one answer. Whoever has it may ask again under the same id at once.
-    fn answer(&mut self, reply: &Reply) {
-        self.taken = None;
-        self.client.answer(self.message, reply);
-    }
-
     /// Asks for further pages, or settles the dispatch when the last one has come. A page that is missing
     /// when the time-out comes, or one of no use, never makes a job done.
-    fn collect(&mut self, mut at: Running, result: &mut Vec<u8>) -> Option<Running> {
+    fn collect(&mut self, mut at: Running) -> Option<Running> {
         let Some(pages) = &mut at.result else { return Some(at) };
-        let room = self.lease.grow_to(self.statement.len() + pages.held());
+        let room = self.job.bytes.grow_to(self.job.statement.len() + pages.held());
         if !room || pages.held() > LONGEST_RESULT || pages.all > MOST_PAGES || pages.next > pages.all {
             self.settle(at, Verdict::Error, None, Report::new());
             return None;
@@ -198,7 +206,10 @@
             }
             return Some(at);
         }
-        *result = std::mem::take(&mut pages.rows);
+        // Straight to the client: whoever answers first does, and the module hears that it was done.
+        if self.job.responder.answer(&Reply::Done(&pages.rows)) {
+            counts::DONE.add();
+        }
         let (bill, report) = (pages.bill, std::mem::take(&mut pages.report));
         self.settle(at, Verdict::Done, bill, report);
         None
@@ -217,7 +228,9 @@
         bill: Option<(Span, f64)>,
         report: Report,
     ) {
-        let (copy, took) = (at.copy, clock::now() - at.sent);
+        let (copy, sent) = (at.copy, at.sent);
+        let took = clock::now() - sent;
+        tracing::debug!("job {}: dispatch {copy} ended: {verdict:?}", self.job.name);
         let outcome = Outcome { verdict, took, over: false, lively, bill, report };
         let open =
             matches!(verdict, Verdict::Withdrawn | Verdict::TimedOut | Verdict::Error | Verdict::Broken);
@@ -225,12 +238,16 @@
         // hears its answer meanwhile.
         let given_up = if open { at.out.give_up() } else { never() };
         let until = clock::now() + if open { GIVEN_UP } else { Span::default() };
-        let ending = Ending { given_up, until, out: at.out, copy, outcome };
+        let ending = Ending { given_up, until, out: at.out, sent, copy, outcome };
         if open { self.ending = Some(ending) } else { self.told(ending) }
     }
 
     fn told(&self, ending: Ending) {
-        let Ending { out, copy, outcome, .. } = ending;
+        let Ending { out, sent, copy, outcome, .. } = ending;
+        if out.left() {
+            let never_ran = matches!(outcome.verdict, Verdict::Full | Verdict::Unreachable | Verdict::Void);
+            self.job.ledger.ended(sent, !never_ran);
+        }
         drop(out);
         self.module.settle(self.id, copy, outcome);
     }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -6,6 +6,7 @@
 mod module;
 mod service;
 mod wire;
+mod workers;
 
 use crossbeam_channel::{bounded, select};
 use memory::budget::{Budget, Shares};
@@ -59,7 +60,7 @@
 
 fn run(mut signals: Signals, mut config: Config) -> Result<(), String> {
     let cannot = |what: &'static str| move |e: std::io::Error| format!("cannot {what}: {e}");
-    let types = config.types();
+    let (types, rules) = (config.types(), config.repeat_rules());
     let shares = Shares::of(config.limits);
     let (sockets, terms) = (Budget::new(shares.engines), config.terms(shares.engine));
     let owners = Owners::start(terms, sockets, clock::now).map_err(cannot("start the engines' thread"))?;
@@ -71,7 +72,7 @@
     )
     .map_err(cannot("start the module's thread"))?;
     let health = Arc::new(shutdown::Health::default());
-    let shared = clients::Shared::new(module.clone(), health.clone(), types, &shares);
+    let shared = clients::Shared::new(module.clone(), health.clone(), types, rules, &shares);
     let listener = TcpListener::bind(config.listen)
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
     let listens = listener.local_addr().map_err(cannot("listen"))?;
--- a/crates/server/src/memory/clients.rs
+++ b/crates/server/src/memory/clients.rs
@@ -92,6 +92,11 @@
         locked(&self.state).open.len() < OPEN
     }
 
+    /// Whether this job's answer is still owed.
+    pub fn waits_for(&self, message: u32, job: JobId) -> bool {
+        locked(&self.state).open.get(&message).is_some_and(|(open, _)| *open == job)
+    }
+
     pub fn is_open(&self, message: u32) -> bool {
         locked(&self.state).open.contains_key(&message)
     }
@@ -136,15 +141,16 @@
         done
     }
 
-    /// The one place from which a job's answer goes out: once, and not if the client has forgotten the job.
-    pub fn answer(&self, message: u32, reply: &Reply) {
+    /// The one place from which a job's answer goes out: once, and not if the client has forgotten the job. Says
+    /// whether it did.
+    pub fn answer(&self, message: u32, reply: &Reply) -> bool {
         let mut state = locked(&self.state);
-        if let Some((_, wanted)) = state.open.remove(&message) {
-            wanted.cancel();
-            state.since = Instant::now();
-            // Still under the lock: whoever finds nothing open here finds the answer kept or gone out.
-            self.write(message, reply);
-        }
+        let Some((_, wanted)) = state.open.remove(&message) else { return false };
+        wanted.cancel();
+        state.since = Instant::now();
+        // Still under the lock: whoever finds nothing open here finds the answer kept or gone out.
+        self.write(message, reply);
+        true
     }
 
     /// Writes one message, or keeps what the client does not take at once.
--- a/crates/server/src/memory/counts.rs
+++ b/crates/server/src/memory/counts.rs
@@ -1,5 +1,6 @@
 //! What has happened since the start, told in the log at a slow pace.
 
+use super::invariants;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 /// One count; the log names it.
@@ -21,8 +22,10 @@
 pub static STRAY_WORDS: Count = Count("stray_words", AtomicU64::new(0));
 pub static LOST_CONNECTIONS: Count = Count("lost_connections", AtomicU64::new(0));
 pub static ODD_EVENTS: Count = Count("odd_events", AtomicU64::new(0));
+/// Answers that left after their client's wait.
+pub static LATE_ANSWERS: Count = Count("late_answers", AtomicU64::new(0));
 
-static ALL: [&Count; 12] = [
+static ALL: [&Count; 13] = [
     &TAKEN,
     &DONE,
     &THROTTLED,
@@ -35,6 +38,7 @@
     &STRAY_WORDS,
     &LOST_CONNECTIONS,
     &ODD_EVENTS,
+    &LATE_ANSWERS,
 ];
 
 impl Count {
@@ -47,5 +51,5 @@
 pub fn line() -> String {
     let parts: Vec<String> =
         ALL.iter().map(|count| format!("{}={}", count.0, count.1.load(Relaxed))).collect();
-    parts.join(" ")
+    format!("{} violations={}", parts.join(" "), invariants::violations())
 }
--- /dev/null
+++ b/crates/server/src/memory/dispatch_ledger.rs
@@ -0,0 +1,111 @@
+//! What has left for one job, as the connections to engines saw it: the last look before a dispatch's first byte, apart
+//! from the module's own books.
+
+use super::invariants::{self, Invariant};
+use pebblevane::interface::{Moment, Settings, Span};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// An engine may be told so much more time than the client has left.
+const DEADLINE_SLACK: Span = Span(150_000);
+
+/// What the settings say of repeating a reservation type's jobs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RepeatRules {
+    /// A repeat is harmless.
+    Restartable,
+    /// A repeat is harmless within this time of the first run: on every engine, or on some only.
+    Keyed { window: Span, anywhere: bool },
+    /// A repeat does harm.
+    RunOnce,
+}
+
+impl RepeatRules {
+    /// Reads those of the type at this position.
+    pub fn read(settings: &Settings, position: usize) -> RepeatRules {
+        let field = |name: &str| format!("Classes.{position}.{name}");
+        match settings.text(&field("Semantics")) {
+            "read_like" => RepeatRules::Restartable,
+            "idempotency_key" => RepeatRules::Keyed {
+                window: Span::from_ms(settings.number(&field("DedupWindow")).unwrap_or(0.0)),
+                anywhere: settings.text(&field("Group")) == "all",
+            },
+            _ => RepeatRules::RunOnce,
+        }
+    }
+}
+
+pub struct DispatchLedger {
+    id: Box<str>,
+    rules: RepeatRules,
+    /// When the client stops waiting.
+    deadline: Moment,
+    entries: Mutex<Entries>,
+}
+
+#[derive(Default)]
+struct Entries {
+    /// Dispatches that have left and have not ended.
+    out: u32,
+    /// When the first dispatch left that may have run.
+    may_have_run: Option<Moment>,
+}
+
+impl DispatchLedger {
+    pub fn new(id: &str, rules: RepeatRules, deadline: Moment) -> DispatchLedger {
+        DispatchLedger { id: id.into(), rules, deadline, entries: Mutex::default() }
+    }
+
+    fn entries(&self) -> MutexGuard<'_, Entries> {
+        // A panic ends the program, so that nobody sees what a panic left behind.
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A dispatch is about to leave that tells its engine this deadline. Says whether it may, and enters it if so.
+    pub fn leaves(&self, now: Moment, deadline: Moment) -> bool {
+        let mut entries = self.entries();
+        let first = entries.may_have_run;
+        let broken = match self.rules {
+            _ if entries.out > 0 => Some(Invariant::OneDispatchOut),
+            _ if deadline > self.deadline + DEADLINE_SLACK => Some(Invariant::DeadlineWithinWait),
+            RepeatRules::RunOnce if first.is_some() => Some(Invariant::RunOnce),
+            RepeatRules::Keyed { window, .. } if first.is_some_and(|first| now >= first + window) => {
+                Some(Invariant::KeyedInWindow)
+            }
+            _ => None,
+        };
+        match broken {
+            Some(invariant) => invariants::violated(invariant, &self.id),
+            None => entries.out += 1,
+        }
+        broken.is_none()
+    }
+
+    /// Not a byte of it has left after all.
+    pub fn stayed(&self) {
+        let mut entries = self.entries();
+        entries.out = entries.out.saturating_sub(1);
+    }
+
+    /// A dispatch that had left has ended.
+    pub fn ended(&self, sent: Moment, may_have_run: bool) {
+        let mut entries = self.entries();
+        entries.out = entries.out.saturating_sub(1);
+        if may_have_run {
+            entries.may_have_run.get_or_insert(sent);
+        }
+    }
+
+    /// The job is about to be answered as throttled, which says that trying again is harmless.
+    pub fn throttled(&self) {
+        let entries = self.entries();
+        let may_have_run = entries.out > 0 || entries.may_have_run.is_some();
+        let harmless = match self.rules {
+            RepeatRules::Restartable => true,
+            RepeatRules::Keyed { anywhere, .. } => anywhere,
+            RepeatRules::RunOnce => false,
+        };
+        if may_have_run && !harmless {
+            invariants::violated(Invariant::ThrottledUnrun, &self.id);
+        }
+    }
+}
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -8,6 +8,7 @@
 use super::budget::{Budget, Lease};
 use super::clients::CancelToken;
 use super::counts;
+use super::dispatch_ledger::DispatchLedger;
 use super::owners::Owners;
 use super::readers::{ConnectionEvent, ReadHalf, Readers};
 use crate::wire::engine::{self as wire, Word};
@@ -45,7 +46,11 @@
 
 /// Whether a dispatch has left this program: the last check before its first byte goes out.
 #[derive(Default)]
-pub struct Gate(AtomicU8);
+pub struct Gate {
+    state: AtomicU8,
+    /// A byte of it may have left.
+    left: AtomicBool,
+}
 
 const QUEUED: u8 = 0;
 const SENT: u8 = 1;
@@ -54,7 +59,7 @@
 impl Gate {
     /// Says whether it was the one to change it.
     fn pass(&self, to: u8) -> bool {
-        self.0.compare_exchange(QUEUED, to, SeqCst, SeqCst).is_ok()
+        self.state.compare_exchange(QUEUED, to, SeqCst, SeqCst).is_ok()
     }
 }
 
@@ -76,6 +81,7 @@
     /// Its first byte leaves before this or never.
     pub begin_by: Moment,
     pub wanted: Arc<CancelToken>,
+    pub ledger: Arc<DispatchLedger>,
     pub rank: Option<u8>,
     pub statement: Arc<[u8]>,
 }
@@ -133,7 +139,7 @@
 }
 
 /// A job's handle on its dispatch. Dropping it gives the dispatch up, or ends what the engine holds of it.
-pub struct Out {
+pub struct DispatchHandle {
     number: u64,
     engine: Arc<Engine>,
     gate: Arc<Gate>,
@@ -155,12 +161,12 @@
         }
     }
 
-    pub fn send(self: &Arc<Self>, request: Request) -> Out {
+    pub fn send(self: &Arc<Self>, request: Request) -> DispatchHandle {
         let (words, heard) = bounded(WORDS);
         let (number, gate) = (self.numbers.fetch_add(1, SeqCst), Arc::new(Gate::default()));
         let order = Order::Send { number, request, gate: gate.clone(), words };
         self.owners.order(self.key, order);
-        Out { number, engine: self.clone(), gate, words: heard }
+        DispatchHandle { number, engine: self.clone(), gate, words: heard }
     }
 
     /// Sends a probe; `told` is handed its result. Says whether the engine's owner could take it.
@@ -179,14 +185,18 @@
     }
 }
 
-impl Out {
+impl DispatchHandle {
     pub fn fetch(&self, page: u32) {
         self.engine.owners.order(self.engine.key, Order::Fetch { number: self.number, page });
     }
     /// Keeps it from leaving if it has not yet; says whether that came in time.
     pub fn withhold(&self) -> bool {
         // Whatever happens, it does not leave from now on.
-        self.gate.0.swap(DROPPED, SeqCst) != SENT
+        self.gate.state.swap(DROPPED, SeqCst) != SENT
+    }
+    /// Whether a byte of it may have left.
+    pub fn left(&self) -> bool {
+        self.gate.left.load(SeqCst)
     }
     /// Keeps it from leaving if it has not yet, and changes nothing if it has; says which.
     pub fn keep_back(&self) -> bool {
@@ -194,7 +204,7 @@
     }
 }
 
-impl Out {
+impl DispatchHandle {
     /// Gives it up. What is returned ends once that is written: the job's next dispatch must not overtake it.
     pub fn give_up(&self) -> Receiver<()> {
         let (done, given_up) = bounded(0);
@@ -203,7 +213,7 @@
     }
 }
 
-impl Drop for Out {
+impl Drop for DispatchHandle {
     fn drop(&mut self) {
         self.withhold();
         self.engine.owners.order(self.engine.key, Order::GiveUp { number: self.number, done: None });
@@ -211,7 +221,7 @@
 }
 
 /// What all owners share.
-pub struct Means {
+pub struct OwnerContext {
     pub terms: Terms,
     pub sockets: Arc<Budget>,
     pub readers: Arc<Readers>,
@@ -313,11 +323,11 @@
     }
 
     /// Something waits here for a descriptor that it can't have.
-    pub fn lacks_room(&self, means: &Means) -> bool {
+    pub fn lacks_room(&self, context: &OwnerContext) -> bool {
         !self.waiting.is_empty()
             && self.dialing == 0
-            && self.connections.len() < means.terms.connections
-            && means.sockets.lease(1).is_none()
+            && self.connections.len() < context.terms.connections
+            && context.sockets.lease(1).is_none()
     }
 
     /// Since when the connection has rested that has rested longest.
@@ -347,54 +357,54 @@
         }
     }
 
-    pub fn hears(&mut self, news: News, means: &Means) {
+    pub fn hears(&mut self, news: News, context: &OwnerContext) {
         if let Some(at) = news.restarted {
             let old = self.connections.iter().filter(|(_, connection)| connection.opened < at);
             for connection in old.map(|(number, _)| *number).collect::<Vec<u64>>() {
-                self.lost(connection, "the engine started anew", means);
+                self.lost(connection, "the engine started anew", context);
             }
         }
         self.gone |= news.gone;
         if news.closed && !self.open.load(SeqCst) {
             std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
         }
-        self.assign_waiting(means);
+        self.assign_waiting(context);
     }
 
-    pub fn sweep(&mut self, means: &Means) {
-        self.drop_idle(means);
-        self.drop_silent(means);
+    pub fn sweep(&mut self, context: &OwnerContext) {
+        self.drop_idle(context);
+        self.drop_silent(context);
     }
 
-    pub fn carry_out(&mut self, order: Order, means: &Means) {
+    pub fn carry_out(&mut self, order: Order, context: &OwnerContext) {
         match order {
             Order::Send { number, request, gate, words } => {
                 let id = request.id.clone();
-                self.enter(number, id, What::Dispatch { request, gate, words }, means);
+                self.enter(number, id, What::Dispatch { request, gate, words }, context);
             }
             Order::Probe { number, told } => {
-                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)), means);
+                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)), context);
             }
-            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page), means),
+            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page), context),
             Order::GiveUp { number, done } => {
-                self.give_up(number, means);
+                self.give_up(number, context);
                 drop(done);
             }
-            Order::Dialed(dialed) => self.dialed(dialed, means),
+            Order::Dialed(dialed) => self.dialed(dialed, context),
             Order::Connection { connection, told: ConnectionEvent::Word(id, word, at) } => {
                 self.heard(connection, &id, word, at)
             }
             Order::Look => {}
             Order::Connection { connection, told: ConnectionEvent::Ended(why) } => {
-                self.lost(connection, &why, means)
+                self.lost(connection, &why, context)
             }
         }
         // Whatever has come to an end may have left a connection to what waits.
-        self.assign_waiting(means);
+        self.assign_waiting(context);
     }
 
-    fn enter(&mut self, number: u64, id: Box<str>, what: What, means: &Means) {
-        let due = Instant::now() + means.terms.dial / 8;
+    fn enter(&mut self, number: u64, id: Box<str>, what: What, context: &OwnerContext) {
+        let due = Instant::now() + context.terms.dial / 8;
         self.outs.insert(
             number,
             Entry {
@@ -409,11 +419,11 @@
             },
         );
         self.waiting.push_back(number);
-        self.assign_waiting(means);
+        self.assign_waiting(context);
     }
 
     /// Finds connections for what waits, in turn, or opens more.
-    pub fn assign_waiting(&mut self, means: &Means) {
+    pub fn assign_waiting(&mut self, context: &OwnerContext) {
         if self.waiting.is_empty() {
             return;
         }
@@ -422,18 +432,18 @@
                 self.waiting.pop_front();
                 continue;
             };
-            let full = self.connections.len() + self.dialing >= means.terms.connections;
-            let Some(key) = self.connection_for(&entry.id, full, means) else { break };
+            let full = self.connections.len() + self.dialing >= context.terms.connections;
+            let Some(key) = self.connection_for(&entry.id, full, context) else { break };
             self.waiting.pop_front();
-            self.assign(number, key, means);
+            self.assign(number, key, context);
         }
-        self.dial(means);
+        self.dial(context);
     }
 
     /// A connection on which no late answer can be taken for that of this id: one with nothing out, best one
     /// that has just proved to work; where no more may be opened, the one with the least out.
-    fn connection_for(&self, id: &str, share: bool, means: &Means) -> Option<u64> {
-        let Terms { streams, idle, .. } = means.terms;
+    fn connection_for(&self, id: &str, share: bool, context: &OwnerContext) -> Option<u64> {
+        let Terms { streams, idle, .. } = context.terms;
         let usable = self.connections.iter().filter(|(_, connection)| {
             connection.spent.len() < SPENT
                 && !connection.spent.contains(id)
@@ -448,29 +458,36 @@
     }
 
     /// Writes it to a connection, after the last look whether it may still leave.
-    fn assign(&mut self, number: u64, key: u64, means: &Means) {
+    fn assign(&mut self, number: u64, key: u64, context: &OwnerContext) {
         // The end of a connection that rests may have come and not been read yet: what is written then is lost, and
         // whether it ran can't be known. Half a line on it would spoil the answer.
         let odd = |connection: &Connection| connection.ids.is_empty() && !connection.is_quiet();
         if self.connections.get(&key).is_some_and(odd) {
-            self.lost(key, "its end or what nobody asked for came while it rested", means);
+            self.lost(key, "its end or what nobody asked for came while it rested", context);
             self.waiting.push_front(number);
-            return self.assign_waiting(means);
+            return self.assign_waiting(context);
         }
         let Some(entry) = self.outs.get_mut(&number) else { return };
         let Some(connection) = self.connections.get_mut(&key) else { return };
         let bytes = match &entry.what {
             What::Dispatch { request, gate, .. } => {
-                let now = (means.now)();
+                let now = (context.now)();
                 let over = request.wanted.is_cancelled() || now >= request.begin_by;
                 if over || !self.open.load(SeqCst) || !gate.pass(SENT) {
+                    tracing::debug!("job {}: kept back from engine {}", request.id, self.name);
                     gate.pass(DROPPED);
                     return self.lose(number);
                 }
+                if !request.ledger.leaves(now, request.ends) {
+                    gate.state.store(DROPPED, SeqCst);
+                    return self.lose(number);
+                }
+                gate.left.store(true, SeqCst);
+                tracing::debug!("job {}: leaves for engine {} on connection {key}", request.id, self.name);
                 let limit_ms = ((request.ends - now).ms().floor() as i64).max(1);
                 wire::request(&request.id, &request.class, limit_ms, request.rank, &request.statement)
             }
-            What::Probe(_) => wire::probe(&entry.id, means.terms.reports),
+            What::Probe(_) => wire::probe(&entry.id, context.terms.reports),
         };
         if connection.ids.is_empty() {
             connection.rested = connection.used.then(|| connection.since.elapsed());
@@ -478,7 +495,7 @@
         }
         connection.ids.insert(entry.id.clone(), number);
         entry.sent = Instant::now();
-        (entry.connection, entry.due) = (Some(key), entry.sent + means.terms.dial);
+        (entry.connection, entry.due) = (Some(key), entry.sent + context.terms.dial);
         let written = loop {
             match (&*connection.stream).write(&bytes) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -487,21 +504,23 @@
         };
         match written {
             Ok(count) if count == bytes.len() => {}
-            Ok(count) => self.write(key, &bytes[count..], means),
+            Ok(count) => self.write(key, &bytes[count..], context),
             Err(e) => {
                 // Not a byte has left: it may go on another connection, if that does not come again and again.
                 connection.ids.remove(&entry.id);
                 (entry.connection, entry.failed) = (None, entry.failed + 1);
                 let again = entry.failed < FAILED;
-                if let What::Dispatch { gate, .. } = &entry.what {
+                if let What::Dispatch { request, gate, .. } = &entry.what {
                     // Unless the job has given it up meanwhile.
                     let next = if again { QUEUED } else { DROPPED };
-                    let _ = gate.0.compare_exchange(SENT, next, SeqCst, SeqCst);
+                    let _ = gate.state.compare_exchange(SENT, next, SeqCst, SeqCst);
+                    gate.left.store(false, SeqCst);
+                    request.ledger.stayed();
                 }
-                self.lost(key, &format!("it takes nothing: {e}"), means);
+                self.lost(key, &format!("it takes nothing: {e}"), context);
                 if again {
                     self.waiting.push_back(number);
-                    self.assign_waiting(means);
+                    self.assign_waiting(context);
                 } else {
                     self.lose(number);
                 }
@@ -509,24 +528,25 @@
         }
     }
 
-    fn write(&mut self, key: u64, bytes: &[u8], means: &Means) {
+    fn write(&mut self, key: u64, bytes: &[u8], context: &OwnerContext) {
         let Some(connection) = self.connections.get(&key) else { return };
         if let Err(e) = (&*connection.stream).write_all(bytes) {
-            self.lost(key, &format!("it takes no more: {e}"), means);
+            self.lost(key, &format!("it takes no more: {e}"), context);
         }
     }
 
-    fn dial(&mut self, means: &Means) {
-        let most = means.terms.connections.saturating_sub(self.connections.len());
-        while self.dialing < self.waiting.len().min(most) && self.dial_once(means) {}
+    fn dial(&mut self, context: &OwnerContext) {
+        let most = context.terms.connections.saturating_sub(self.connections.len());
+        while self.dialing < self.waiting.len().min(most) && self.dial_once(context) {}
         if self.dialing == 0 {
-            self.share(means);
+            self.share(context);
         }
     }
 
-    fn dial_once(&mut self, means: &Means) -> bool {
-        let Some(lease) = means.sockets.lease(1) else { return false };
-        let (key, address, dial, orders) = (self.key, self.address, means.terms.dial, means.orders.clone());
+    fn dial_once(&mut self, context: &OwnerContext) -> bool {
+        let Some(lease) = context.sockets.lease(1) else { return false };
+        let (key, address, dial, orders) =
+            (self.key, self.address, context.terms.dial, context.orders.clone());
         let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
             let stream = TcpStream::connect_timeout(&address, dial);
             let dialed = stream.map(|stream| (stream, lease)).map_err(|e| e.to_string());
@@ -540,47 +560,47 @@
     }
 
     /// Where no connection can be made, those that are there are shared.
-    fn share(&mut self, means: &Means) {
+    fn share(&mut self, context: &OwnerContext) {
         while let Some(&number) = self.waiting.front() {
             let entry = self.outs.get(&number);
-            let Some(key) = entry.and_then(|entry| self.connection_for(&entry.id, true, means)) else {
+            let Some(key) = entry.and_then(|entry| self.connection_for(&entry.id, true, context)) else {
                 return;
             };
             self.waiting.pop_front();
-            self.assign(number, key, means);
+            self.assign(number, key, context);
         }
     }
 
-    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>, means: &Means) {
+    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>, context: &OwnerContext) {
         self.dialing -= 1;
         let taken = dialed.is_ok();
         for words in std::mem::take(&mut self.doubtful) {
             let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, taken));
         }
         let connected = dialed.and_then(|(stream, lease)| {
-            self.connect(stream, lease, means).map_err(|e| format!("it can't be read: {e}"))
+            self.connect(stream, lease, context).map_err(|e| format!("it can't be read: {e}"))
         });
         if let Err(why) = connected {
             self.tell(|name, rest| format!("engine {name}: cannot connect: {why}{rest}"));
             if self.dialing == 0 {
-                self.share(means);
+                self.share(context);
                 std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
             }
             return;
         }
-        self.assign_waiting(means);
+        self.assign_waiting(context);
     }
 
-    fn connect(&mut self, stream: TcpStream, lease: Lease, means: &Means) -> std::io::Result<()> {
+    fn connect(&mut self, stream: TcpStream, lease: Lease, context: &OwnerContext) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_nonblocking(true)?;
         let stream = Arc::new(stream);
         self.opened += 1;
-        let (key, connection, orders) = (self.key, self.opened, means.orders.clone());
+        let (key, connection, orders) = (self.key, self.opened, context.orders.clone());
         let tell = Box::new(move |told| drop(orders.send((key, Order::Connection { connection, told }))));
-        let half = ReadHalf::new(stream.clone(), means.terms.dial, tell);
+        let half = ReadHalf::new(stream.clone(), context.terms.dial, tell);
         let midway = half.midway();
-        means.readers.add(half)?;
+        context.readers.add(half)?;
         let connection = Connection {
             stream,
             midway,
@@ -590,7 +610,7 @@
             rested: None,
             used: false,
             heard: Instant::now(),
-            opened: (means.now)(),
+            opened: (context.now)(),
             _lease: lease,
         };
         self.connections.insert(self.opened, connection);
@@ -660,7 +680,7 @@
 
     /// The job no longer wants it. On a connection that has said nothing for a while nobody may be reading, and
     /// only its end gives up for certain what is out there.
-    fn give_up(&mut self, number: u64, means: &Means) {
+    fn give_up(&mut self, number: u64, context: &OwnerContext) {
         let Some(Entry { connection: Some(key), what, headed, .. }) = self.outs.get(&number) else {
             return drop(self.leave(number, false));
         };
@@ -669,22 +689,23 @@
             What::Dispatch { .. } => true,
             What::Probe(_) => false,
         };
-        let silent =
-            |connection: &Connection| connection.ids.len() == 1 && connection.quiet_for() > means.terms.dial;
+        let silent = |connection: &Connection| {
+            connection.ids.len() == 1 && connection.quiet_for() > context.terms.dial
+        };
         if left && !headed && self.connections.get(&key).is_some_and(silent) {
             self.leave(number, true);
-            return self.lost(key, "what was out there was given up", means);
+            return self.lost(key, "what was out there was given up", context);
         }
         if left {
-            self.plain(number, if headed { wire::end } else { wire::stop }, means);
+            self.plain(number, if headed { wire::end } else { wire::stop }, context);
         }
         self.leave(number, left);
     }
 
-    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>, means: &Means) {
+    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>, context: &OwnerContext) {
         let Some(Entry { connection: Some(key), id, .. }) = self.outs.get(&number) else { return };
         let (key, bytes) = (*key, line(id));
-        self.write(key, &bytes, means);
+        self.write(key, &bytes, context);
     }
 
     /// It ends with its connection, or without ever having had one.
@@ -694,7 +715,7 @@
             What::Dispatch { words, gate, .. } => {
                 if entry.connection.is_none() {
                     // What was kept back says nothing of its engine.
-                    let kept = gate.0.load(SeqCst) == DROPPED;
+                    let kept = gate.state.load(SeqCst) == DROPPED;
                     let _ = words.try_send(DispatchEvent::Lost(Verdict::Unreachable, kept));
                 } else {
                     self.doubtful.push(words);
@@ -707,7 +728,7 @@
         }
     }
 
-    fn lost(&mut self, connection: u64, why: &str, means: &Means) {
+    fn lost(&mut self, connection: u64, why: &str, context: &OwnerContext) {
         let Some(connection) = self.connections.remove(&connection) else { return };
         let _ = connection.stream.shutdown(Shutdown::Both);
         counts::LOST_CONNECTIONS.add();
@@ -725,7 +746,7 @@
         numbers.sort_unstable();
         numbers.into_iter().for_each(|number| self.lose(number));
         // A process that has died takes no new connection: that tells its end from a connection's.
-        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once(means) {
+        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once(context) {
             for words in std::mem::take(&mut self.doubtful) {
                 let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, false));
             }
@@ -746,18 +767,18 @@
         tracing::info!("{}", line(&self.name, &rest));
     }
 
-    pub fn time_out(&mut self, now: Instant, means: &Means) {
+    pub fn time_out(&mut self, now: Instant, context: &OwnerContext) {
         let late = self.outs.iter().filter(|(_, entry)| entry.times_out() && entry.due <= now);
         for number in late.map(|(number, _)| *number).collect::<Vec<u64>>() {
             let Some(entry) = self.outs.get_mut(&number) else { continue };
             if entry.connection.is_none() && !std::mem::replace(&mut entry.shares, true) {
                 // A connection of its own takes long: one that is there will do.
-                entry.due = now + means.terms.dial;
+                entry.due = now + context.terms.dial;
                 if let Some(key) =
-                    self.outs.get(&number).and_then(|entry| self.connection_for(&entry.id, true, means))
+                    self.outs.get(&number).and_then(|entry| self.connection_for(&entry.id, true, context))
                 {
                     self.waiting.retain(|waits| *waits != number);
-                    self.assign(number, key, means);
+                    self.assign(number, key, context);
                 }
                 continue;
             }
@@ -773,8 +794,8 @@
         }
     }
 
-    fn drop_idle(&mut self, means: &Means) {
-        let (fresh_for, idle) = (self.fresh_for.min(means.terms.idle), means.terms.idle);
+    fn drop_idle(&mut self, context: &OwnerContext) {
+        let (fresh_for, idle) = (self.fresh_for.min(context.terms.idle), context.terms.idle);
         if self.stale_at.elapsed() > STALE {
             (self.fresh_for, self.stale_at) = ((fresh_for * 2).min(idle), Instant::now());
         }
@@ -789,14 +810,14 @@
 
     /// A connection on which notes are due and nothing comes, while its engine speaks on others, is of no use.
     /// Where all are silent it is the engine, which is the module's matter.
-    fn drop_silent(&mut self, means: &Means) {
-        let Some(notes) = means.terms.notes else { return };
+    fn drop_silent(&mut self, context: &OwnerContext) {
+        let Some(notes) = context.terms.notes else { return };
         let speaks = self.connections.values().any(|connection| connection.heard.elapsed() < notes);
         let silent = self.connections.iter().filter(|(_, connection)| {
             speaks && !connection.ids.is_empty() && connection.quiet_for() > notes.mul_f64(2.5)
         });
         for key in silent.map(|(key, _)| *key).collect::<Vec<u64>>() {
-            self.lost(key, "it fell silent while the engine speaks on others", means);
+            self.lost(key, "it fell silent while the engine speaks on others", context);
         }
     }
 }
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -4,6 +4,9 @@
 pub mod budget;
 pub mod clients;
 pub mod counts;
+pub mod dispatch_ledger;
 pub mod engines;
+pub mod invariants;
 pub mod owners;
 pub mod readers;
+pub mod responder;
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -3,7 +3,7 @@
 
 use super::budget::Budget;
 use super::counts;
-use super::engines::{DispatchEvent, Means, News, Order, Owner, Terms};
+use super::engines::{DispatchEvent, News, Order, Owner, OwnerContext, Terms};
 use super::readers::Readers;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use pebblevane::interface::*;
@@ -35,8 +35,8 @@
             fresh: AtomicBool::new(false),
             keys: AtomicU64::new(0),
         });
-        let means = Means { terms, sockets, readers: Readers::start()?, now, orders };
-        let all = All { owners: BTreeMap::new(), dues: BTreeSet::new(), due: BTreeMap::new(), means };
+        let context = OwnerContext { terms, sockets, readers: Readers::start()?, now, orders };
+        let all = All { owners: BTreeMap::new(), dues: BTreeSet::new(), due: BTreeMap::new(), context };
         let told = owners.clone();
         crate::thread("engines", crate::STACK, move || all.run(&told, &inbox))?;
         Ok(owners)
@@ -78,7 +78,7 @@
     owners: BTreeMap<u64, Owner>,
     dues: BTreeSet<(Instant, u64)>,
     due: BTreeMap<u64, Instant>,
-    means: Means,
+    context: OwnerContext,
 }
 
 impl All {
@@ -104,13 +104,13 @@
             }
             let now = Instant::now();
             while let Some((_, key)) = self.dues.first().copied().filter(|(due, _)| *due <= now) {
-                self.with(key, |owner, means| owner.time_out(now, means));
+                self.with(key, |owner, context| owner.time_out(now, context));
             }
             if now >= sweep {
                 sweep = now + SWEEP;
                 let connected = self.owners.iter().filter(|(_, owner)| owner.connected());
                 for key in connected.map(|(key, _)| *key).collect::<Vec<u64>>() {
-                    self.with(key, |owner, means| owner.sweep(means));
+                    self.with(key, |owner, context| owner.sweep(context));
                 }
             }
         }
@@ -120,12 +120,12 @@
         if let Some(owner) = news.new.take() {
             self.owners.insert(key, *owner);
         }
-        self.with(key, |owner, means| owner.hears(news, means));
+        self.with(key, |owner, context| owner.hears(news, context));
     }
 
     fn carry_out(&mut self, key: u64, order: Order) {
         if self.owners.contains_key(&key) {
-            return self.with(key, |owner, means| owner.carry_out(order, means));
+            return self.with(key, |owner, context| owner.carry_out(order, context));
         }
         // The engine has gone: what is ordered now never leaves.
         match order {
@@ -145,15 +145,15 @@
         let Some((_, other)) = resting.min() else { return };
         self.owners.entry(other).and_modify(Owner::make_room);
         counts::MADE_ROOM.add();
-        let means = &self.means;
-        self.owners.entry(key).and_modify(|owner| owner.assign_waiting(means));
+        let context = &self.context;
+        self.owners.entry(key).and_modify(|owner| owner.assign_waiting(context));
     }
 
     /// Lets an owner do something, then notes when it is due next, or lets it go when it is over.
-    fn with(&mut self, key: u64, what: impl FnOnce(&mut Owner, &Means)) {
+    fn with(&mut self, key: u64, what: impl FnOnce(&mut Owner, &OwnerContext)) {
         let Some(owner) = self.owners.get_mut(&key) else { return };
-        what(owner, &self.means);
-        if owner.lacks_room(&self.means) {
+        what(owner, &self.context);
+        if owner.lacks_room(&self.context) {
             self.make_room(key);
         }
         let Some(owner) = self.owners.get_mut(&key) else { return };
--- /dev/null
+++ b/crates/server/src/memory/responder.rs
@@ -0,0 +1,64 @@
+//! The one way of a request to its one answer, whoever gives it: the module, the job's thread or whoever admits jobs.
+
+use super::clients::{CancelToken, Client, Name};
+use super::counts;
+use super::invariants::{self, Invariant};
+use crate::service::clock;
+use crate::wire::client::Reply;
+use pebblevane::interface::{JobId, Moment, Span};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+
+/// An answer later than this after its client's wait counts as a lost request.
+const LOST_AFTER: Span = Span(500_000);
+
+pub struct Responder {
+    client: Arc<Client>,
+    message: u32,
+    /// The client's own id of the job, for the log.
+    id: Box<str>,
+    /// The client's hold on that id until the answer.
+    name: Mutex<Option<Name>>,
+    /// When the client stops waiting.
+    deadline: Moment,
+    job: OnceLock<JobId>,
+}
+
+impl Responder {
+    pub fn new(client: Arc<Client>, message: u32, id: &str, name: Name, deadline: Moment) -> Responder {
+        let name = Mutex::new(Some(name));
+        Responder { client, message, id: id.into(), name, deadline, job: OnceLock::new() }
+    }
+
+    /// From now on an answer is owed, until it is given or the client takes the request back.
+    pub fn open(&self, job: JobId, wanted: Arc<CancelToken>) {
+        let _ = self.job.set(job);
+        self.client.open(self.message, job, wanted);
+    }
+
+    /// Gives the answer, unless it has been given or the client has left; says whether it did. Whoever has it may ask
+    /// again under the same id at once.
+    pub fn answer(&self, reply: &Reply) -> bool {
+        drop(self.name.lock().unwrap_or_else(PoisonError::into_inner).take());
+        let answered = self.client.answer(self.message, reply);
+        if answered {
+            let late = clock::now() - self.deadline;
+            tracing::debug!("job {}: answered {}, {:.1} ms past its time", self.id, reply.kind(), late.ms());
+            if late > Span(0) {
+                counts::LATE_ANSWERS.add();
+            }
+            if late > LOST_AFTER {
+                invariants::violated(Invariant::AnsweredInTime, &self.id);
+            }
+        }
+        answered
+    }
+}
+
+impl Drop for Responder {
+    /// Whoever drops the last hold on a request has answered it, or its client has left.
+    fn drop(&mut self) {
+        if self.job.get().is_some_and(|job| self.client.waits_for(self.message, *job)) {
+            invariants::violated(Invariant::Answered, &self.id);
+        }
+    }
+}
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -2,12 +2,18 @@
 //! each `Decided` is carried out in its order before the next call. What the engine list tells, a planned stop and
 //! clients that leave don't wait behind those. It decides nothing.
 
+use crate::job::{AdmittedJob, JobTask};
 use crate::memory::clients::CancelToken;
+use crate::memory::counts;
+use crate::memory::dispatch_ledger::DispatchLedger;
 use crate::memory::engines::Engine;
 use crate::memory::owners::Owners;
+use crate::memory::responder::Responder;
 use crate::service::clock;
 use crate::service::start_clock::StartClock;
 use crate::wire::bus::{Event, UnixTime};
+use crate::wire::client::Reply;
+use crate::workers::Workers;
 use crossbeam_channel::{Receiver, Sender, bounded, select};
 use pebblevane::interface::*;
 use pebblevane::logic::Logic;
@@ -21,17 +27,17 @@
 const CALLS: usize = 1024; // calls that wait for the module
 const URGENT: usize = 16; // of the list and of a planned stop
 const MODULE_STACK: usize = 512 * 1024;
-const STEPS: usize = 32; // steps that wait for one job: more than its dispatches, recalls and answer make
+const STEPS: usize = 32; // steps that wait for one job: more than its dispatches and recalls make
+/// Told to clients that meet one of the program's own limits: come back after this time.
+pub const BACK_IN: Span = Span(1_000_000);
 
 /// What the module's thread is asked to do.
-#[derive(Debug)]
 enum Call {
     Take {
         id: JobId,
         job: Job,
         arrived: Moment,
-        steps: Sender<Step>,
-        wanted: Arc<CancelToken>,
+        admitted: Box<AdmittedJob>,
     },
     Settle {
         id: JobId,
@@ -60,7 +66,7 @@
     Look,
 }
 
-/// What comes next in a job's life.
+/// What comes next for a job of which something is sent.
 pub enum Step {
     Dispatch {
         engine: Arc<Engine>,
@@ -72,9 +78,6 @@
     Recall {
         copy: u32,
     },
-    /// The dispatch that has just been settled is the job's answer.
-    Deliver,
-    Answer(Answer),
     /// Nothing is out or owed any more.
     Released,
 }
@@ -120,6 +123,7 @@
                 machines,
                 owners,
                 start_clock: StartClock::default(),
+                workers: Workers::new(),
             };
             owner.listed_at_start(known);
             let _ = ready.send(());
@@ -129,25 +133,22 @@
         Ok(handle)
     }
 
-    /// Hands a job over, unless too many calls wait. Jobs are numbered in the order in which the module hears of
-    /// them. Whoever reads all clients calls this, and is never held up by the module.
-    pub fn take(
-        &self,
-        job: Job,
-        arrived: Moment,
-        wanted: &Arc<CancelToken>,
-    ) -> Option<(JobId, Receiver<Step>)> {
-        let (steps, next_steps) = bounded(STEPS);
+    /// Hands a job over, unless too many calls wait; its answer is owed from then on. Jobs are numbered in the order
+    /// in which the module hears of them. Whoever reads all clients calls this, and is never held up by the module.
+    pub fn take(&self, job: Job, arrived: Moment, admitted: AdmittedJob) -> bool {
+        let responder = admitted.responder.clone();
         let mut next = locked(&self.next);
         let id = JobId(*next);
+        responder.open(id, admitted.wanted.clone());
         self.open.fetch_add(1, SeqCst);
-        let call = Call::Take { id, job, arrived, steps, wanted: wanted.clone() };
+        let call = Call::Take { id, job, arrived, admitted: Box::new(admitted) };
         if self.calls.try_send(call).is_err() {
             self.open.fetch_sub(1, SeqCst);
-            return None;
+            responder.answer(&Reply::Throttled(BACK_IN));
+            return false;
         }
         *next += 1;
-        Some((id, next_steps))
+        true
     }
     pub fn settle(&self, id: JobId, copy: u32, outcome: Outcome) {
         self.call(Call::Settle { id, copy, outcome });
@@ -184,12 +185,23 @@
 
 /// What the module's thread keeps of a job.
 struct OpenJob {
-    steps: Sender<Step>,
+    stage: JobStage,
     wanted: Arc<CancelToken>,
+    responder: Arc<Responder>,
+    ledger: Arc<DispatchLedger>,
     answered: bool,
     copies: u32,
 }
 
+enum JobStage {
+    /// Nothing was sent yet, and no thread is needed.
+    Waiting(Box<AdmittedJob>),
+    /// In a thread that takes its next steps here.
+    Started(Sender<Step>),
+    /// It could not be started, and is answered.
+    Refused,
+}
+
 struct ModuleThread {
     logic: Logic,
     handle: Arc<Module>,
@@ -201,6 +213,7 @@
     machines: Vec<String>,
     owners: Arc<Owners>,
     start_clock: StartClock,
+    workers: Workers,
 }
 
 struct Known {
@@ -250,13 +263,13 @@
     }
 
     fn answer(&mut self, now: Moment, call: Call) {
-        tracing::trace!("{call:?}");
         let decided = match call {
-            Call::Take { id, mut job, arrived, steps, wanted } => {
-                let open = OpenJob { steps, wanted, answered: false, copies: 0 };
+            Call::Take { id, mut job, arrived, admitted } => {
+                let (wanted, responder) = (admitted.wanted.clone(), admitted.responder.clone());
+                let (ledger, stage) = (admitted.ledger.clone(), JobStage::Waiting(admitted));
+                let open = OpenJob { stage, wanted, responder, ledger, answered: false, copies: 0 };
                 // Its client has left while it waited here: the module never hears of it.
                 if open.wanted.is_cancelled() {
-                    open.tell(Step::Released);
                     self.handle.open.fetch_sub(1, SeqCst);
                     return;
                 }
@@ -268,12 +281,8 @@
                 let Some(open) = self.jobs.get_mut(&id) else { return };
                 // A client that has left is not waited for, whether or not that was told yet.
                 open.answered |= open.wanted.is_cancelled();
-                let delivers = outcome.verdict == Verdict::Done && !open.answered;
-                open.answered |= delivers;
+                open.answered |= outcome.verdict == Verdict::Done;
                 outcome.over = open.answered;
-                if delivers {
-                    open.tell(Step::Deliver);
-                }
                 self.logic.settle(now, id, copy, outcome)
             }
             Call::Progress { id, copy, note } => self.logic.progress(now, id, copy, note),
@@ -298,9 +307,10 @@
         for (id, answer) in decided.answers {
             if let Some(open) = self.jobs.get_mut(&id).filter(|open| !open.answered) {
                 open.answered = true;
-                open.tell(Step::Answer(answer));
+                open.answer(answer);
             }
         }
+        let mut refused = Vec::new();
         for dispatch in decided.dispatches {
             let known = self.engines.get(&dispatch.engine);
             if let Some((open, known)) = self.jobs.get_mut(&dispatch.job).zip(known) {
@@ -308,7 +318,12 @@
                 open.copies += 1;
                 let (engine, rank) = (known.engine.clone(), dispatch.terms.map(|terms| terms.rank));
                 let (limit, begin_by) = (dispatch.limit, dispatch.begin_by);
-                open.tell(Step::Dispatch { engine, copy, limit, begin_by, rank });
+                let step = Step::Dispatch { engine, copy, limit, begin_by, rank };
+                if !open.start(dispatch.job, &self.workers, &self.handle) {
+                    refused.push((dispatch.job, copy));
+                    continue;
+                }
+                open.tell(step);
             }
         }
         for engine in decided.probes {
@@ -325,6 +340,19 @@
         }
         decided.forgotten.into_iter().for_each(|engine| self.numbers.forget(engine));
         self.wake = decided.next_wake;
+        // Nothing of these has left, and they are answered: the module only hears that they are over.
+        for (id, copy) in refused {
+            let outcome = Outcome {
+                verdict: Verdict::Unreachable,
+                took: Span::default(),
+                over: true,
+                lively: true,
+                bill: None,
+                report: Report::new(),
+            };
+            let decided = self.logic.settle(clock::now(), id, copy, outcome);
+            self.carry_out(decided);
+        }
     }
 
     fn probe(&mut self, id: EngineId) {
@@ -440,9 +468,46 @@
 }
 
 impl OpenJob {
+    /// Gives it a thread, if it has none; says whether it has one now. Where none can be made it is throttled, which
+    /// is harmless as nothing of it has ever left.
+    fn start(&mut self, id: JobId, workers: &Workers, module: &Arc<Module>) -> bool {
+        match std::mem::replace(&mut self.stage, JobStage::Refused) {
+            JobStage::Waiting(admitted) => {
+                let (steps, next) = bounded(STEPS);
+                let task = JobTask::new(id, next, *admitted, module.clone());
+                match workers.start(task) {
+                    Ok(()) => self.stage = JobStage::Started(steps),
+                    Err(e) => {
+                        tracing::warn!("no thread for a job: {e}");
+                        counts::AT_LIMIT.add();
+                        self.answered = true;
+                        self.responder.answer(&Reply::Throttled(BACK_IN));
+                    }
+                }
+            }
+            stage => self.stage = stage,
+        }
+        matches!(self.stage, JobStage::Started(_))
+    }
+
+    fn answer(&self, answer: Answer) {
+        match answer {
+            Answer::Throttled(pause) => {
+                counts::THROTTLED.add();
+                self.ledger.throttled();
+                self.responder.answer(&Reply::Throttled(pause));
+            }
+            Answer::Cancelled => {
+                counts::CANCELLED.add();
+                self.responder.answer(&Reply::Failed("cancelled"));
+            }
+        }
+    }
+
     /// The channel holds more steps than a job can have; a job whose thread has ended wants none.
     fn tell(&self, step: Step) {
-        if self.steps.try_send(step).is_err() {
+        let JobStage::Started(steps) = &self.stage else { return };
+        if steps.try_send(step).is_err() {
             tracing::debug!("a step for a job that has ended");
         }
     }
--- /dev/null
+++ b/crates/server/src/service/arrivals.rs
@@ -0,0 +1,43 @@
+//! When what is found on connections may have come. A program that is short of its core finds requests some time after
+//! they came, and their clients' waits have run on meanwhile.
+
+use pebblevane::interface::{Moment, Span};
+
+/// A wait for events that ends within this time found them there.
+const AT_ONCE: Span = Span(200);
+/// A wait that ends this much later than it was to was held up.
+const HELD_UP: Span = Span(10_000);
+
+/// The waits for events of one thread.
+pub struct Arrivals {
+    /// Whatever had come by then has been found.
+    seen_until: Moment,
+}
+
+/// One wait for events.
+pub struct Wait {
+    pub began: Moment,
+    pub ended: Moment,
+    /// How long it was to be at the most.
+    pub longest: Span,
+    pub interrupted: bool,
+}
+
+impl Arrivals {
+    pub fn new(now: Moment) -> Arrivals {
+        Arrivals { seen_until: now }
+    }
+
+    /// The earliest time at which events that a wait has found can have come, as far as the wait tells.
+    pub fn earliest(&mut self, wait: &Wait) -> Moment {
+        let took = wait.ended - wait.began;
+        let held_up = took > wait.longest + HELD_UP;
+        let earliest = match () {
+            _ if took < AT_ONCE => self.seen_until,
+            _ if held_up => wait.began,
+            _ => wait.ended,
+        };
+        self.seen_until = if held_up || wait.interrupted { wait.began } else { wait.ended };
+        earliest
+    }
+}
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -1,15 +1,17 @@
 //! Accepts client connections and reads what comes on each.
 
-use crate::job::{JobTask, USUAL_RESULT};
+use crate::job::{AdmittedJob, USUAL_RESULT};
 use crate::memory::budget::{Budget, Lease, Shares};
 use crate::memory::clients::{CancelToken, Client, Names};
 use crate::memory::counts;
-use crate::module::Module;
+use crate::memory::dispatch_ledger::{DispatchLedger, RepeatRules};
+use crate::memory::responder::Responder;
+use crate::module::{BACK_IN, Module};
+use crate::service::arrivals::{Arrivals, Wait};
 use crate::service::clock;
 use crate::service::shutdown::{Health, Steps};
 use crate::wire::client::{self as wire, Ask, Frame, Message, Reply};
 use crate::wire::sql;
-use crossbeam_channel::{Sender, bounded};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use pebblevane::interface::*;
@@ -35,8 +37,8 @@
 const ROOM: usize = 8; // make room at a time
 const CLOSING: usize = 32; // may be on their way to their end to make room
 const SWEEP: Duration = Duration::from_millis(250); // pace of looking for those
+const LOOK: Duration = Duration::from_millis(100); // a wait that is held up shows from here on
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room, or during a stop
-const BACK_IN: Span = Span(1_000_000); // told with the fixed answer at the program's own limits
 const COUNTS_EVERY: Duration = Duration::from_secs(30); // pace of the log line of counts
 const SMALL: usize = 4096; // bytes of an unfinished message that are not counted
 /// After each message of no use the next one is read this much later, up to a limit, and to a lower one where
@@ -61,6 +63,8 @@
     pub health: Arc<Health>,
     pub types: Vec<String>,
     pub classes: Vec<Arc<str>>,
+    /// What the settings say of repeating each type's jobs.
+    pub rules: Vec<RepeatRules>,
     pub names: Arc<Names>,
     /// Descriptors for clients; bytes and threads for jobs.
     pub sockets: Arc<Budget>,
@@ -69,12 +73,19 @@
 }
 
 impl Shared {
-    pub fn new(module: Arc<Module>, health: Arc<Health>, types: Vec<String>, shares: &Shares) -> Shared {
+    pub fn new(
+        module: Arc<Module>,
+        health: Arc<Health>,
+        types: Vec<String>,
+        rules: Vec<RepeatRules>,
+        shares: &Shares,
+    ) -> Shared {
         Shared {
             module,
             health,
             classes: types.iter().map(|name| name.as_str().into()).collect(),
             types,
+            rules,
             names: Arc::default(),
             sockets: Budget::new(shares.clients),
             bytes: Budget::new(shares.bytes),
@@ -96,6 +107,9 @@
     paused: Vec<usize>,
     numbers: std::ops::RangeFrom<usize>,
     piece: Vec<u8>,
+    arrivals: Arrivals,
+    /// When what is read now came, or before that it can't have come.
+    arrived: Moment,
 }
 
 /// How long a connection may be silent: before its first message, within a message, and between messages.
@@ -142,6 +156,8 @@
             paused: Vec::new(),
             numbers: 0..,
             piece: vec![0; PIECE],
+            arrivals: Arrivals::new(clock::now()),
+            arrived: clock::now(),
         })
     }
 
@@ -154,9 +170,13 @@
             let pauses = self.paused.iter().filter_map(until);
             let pauses = pauses.map(|until| until.saturating_duration_since(Instant::now())).min();
             let stopping = self.shared.health.stopping();
-            let wait = if self.crowded || stopping.is_some() { CROWDED } else { SWEEP };
+            let wait = if self.crowded || stopping.is_some() { CROWDED } else { LOOK };
+            let wait = pauses.map_or(wait, |pause| pause.min(wait));
+            let began = clock::now();
             // An interrupted wait is one without events.
-            let _ = self.poll.poll(&mut events, Some(pauses.map_or(wait, |pause| pause.min(wait))));
+            let interrupted = self.poll.poll(&mut events, Some(wait)).is_err();
+            let (ended, longest) = (clock::now(), Span(wait.as_micros() as i64));
+            self.arrived = self.arrivals.earliest(&Wait { began, ended, longest, interrupted });
             let (mut ready, mut left, mut comes) = (Vec::new(), Vec::new(), self.crowded);
             for event in &events {
                 match event.token() {
@@ -278,7 +298,7 @@
             return;
         };
         connection.client.flush();
-        match connection.read(&self.shared, &mut self.piece) {
+        match connection.read(&self.shared, &mut self.piece, self.arrived) {
             Ok(false) => self.paused.extend(connection.pauses_until.map(|_| number)),
             Ok(true) => {
                 // Whatever more is there is told by a new event.
@@ -427,7 +447,7 @@
 
     /// Reads what is there, then deals with it: a client that has left behind its messages, or taken them back, is
     /// heard before any of them is taken. Says whether more may be there.
-    fn read(&mut self, shared: &Shared, piece: &mut [u8]) -> Result<bool, End> {
+    fn read(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
         let mut more = true;
         for _ in 0..TURN {
             let count = match (&self.client.stream).read(piece) {
@@ -457,7 +477,7 @@
             return Ok(more);
         }
         let useless = self.useless;
-        self.handle_buffered(shared)?;
+        self.handle_buffered(shared, arrived)?;
         if self.useless > useless {
             // Whoever sends what is of no use at full speed waits; nobody else does.
             let most = if self.client.rests() { LONGEST_PAUSE } else { LONGEST_PAUSE_OPEN };
@@ -468,8 +488,7 @@
     }
 
     /// Deals with all messages that have come whole.
-    fn handle_buffered(&mut self, shared: &Shared) -> Result<(), End> {
-        let arrived = clock::now();
+    fn handle_buffered(&mut self, shared: &Shared, arrived: Moment) -> Result<(), End> {
         let (mut done, mut messages, mut broken) = (0, Vec::new(), None);
         loop {
             match wire::frame(&self.bytes[done..]) {
@@ -564,8 +583,9 @@
         client.write(ask.message, &Reply::Failed("field i is that of an open request"));
         return false;
     };
-    let room = if client.has_room() { room(shared, ask.statement.len()) } else { None };
-    let Some((thread, lease)) = room else {
+    let place = client.has_room().then(|| shared.jobs.lease(1)).flatten();
+    let bytes = shared.bytes.lease(ask.statement.len() + USUAL_RESULT);
+    let Some((place, bytes)) = place.zip(bytes) else {
         // The one answer that the program gives by itself, for a job that the module never saw.
         counts::AT_LIMIT.add();
         client.write(ask.message, &Reply::Throttled(BACK_IN));
@@ -580,42 +600,23 @@
         repeat: ask.repeat,
         ..Job::default()
     };
-    let wanted = Arc::new(CancelToken::default());
-    let Some((id, steps)) = shared.module.take(job, arrived, &wanted) else {
-        counts::AT_LIMIT.add();
-        client.write(ask.message, &Reply::Throttled(BACK_IN));
-        return false;
-    };
-    counts::TAKEN.add();
-    client.open(ask.message, id, wanted.clone());
-    let task = JobTask {
-        id,
-        steps,
-        message: ask.message,
+    let deadline = arrived + ask.left;
+    tracing::debug!("job {}: taken, {:.0} ms left", ask.id, (deadline - clock::now()).ms());
+    let admitted = AdmittedJob {
+        responder: Arc::new(Responder::new(client.clone(), ask.message, &ask.id, taken, deadline)),
+        ledger: Arc::new(DispatchLedger::new(&ask.id, shared.rules[ask.reservation], deadline)),
         name: ask.id,
-        taken: Some(taken),
         class: shared.classes[ask.reservation].clone(),
         statement: ask.statement.into(),
-        client: client.clone(),
-        wanted,
-        module: shared.module.clone(),
-        lease,
-        ending: None,
+        wanted: Arc::new(CancelToken::default()),
+        bytes,
+        _place: place,
     };
-    let _ = thread.send(task);
-    true
-}
-
-/// A thread and the bytes for one more job, if the limits allow it.
-fn room(shared: &Shared, statement: usize) -> Option<(Sender<JobTask>, Lease)> {
-    let (place, bytes) = (shared.jobs.lease(1)?, shared.bytes.lease(statement + USUAL_RESULT)?);
-    let (thread, task) = bounded::<JobTask>(1);
-    let run = move || {
-        let _place = place;
-        if let Ok(task) = task.recv() {
-            task.run();
-        }
-    };
-    crate::thread("job", crate::STACK, run).ok()?;
-    Some((thread, bytes))
+    let taken = shared.module.take(job, arrived, admitted);
+    if taken {
+        counts::TAKEN.add()
+    } else {
+        counts::AT_LIMIT.add()
+    }
+    taken
 }
--- a/crates/server/src/service/config.rs
+++ b/crates/server/src/service/config.rs
@@ -1,5 +1,6 @@
 //! The configuration, checked before anything starts.
 
+use crate::memory::dispatch_ledger::RepeatRules;
 use crate::memory::engines::Terms;
 use crate::wire::bus::{self, Event};
 use pebblevane::interface::{Settings, Span};
@@ -87,6 +88,12 @@
         types.map(|i| self.settings.text(&format!("Classes.{i}.Name")).to_string()).collect()
     }
 
+    /// What the settings say of repeating each type's jobs.
+    pub fn repeat_rules(&self) -> Vec<RepeatRules> {
+        let types = 0..self.settings.entries("Classes", "Name");
+        types.map(|i| RepeatRules::read(&self.settings, i)).collect()
+    }
+
     /// How long a client waits at most, as far as the settings tell.
     pub fn longest_wait(&self) -> Span {
         let types = 0..self.settings.entries("Classes", "Name");
--- a/crates/server/src/service/mod.rs
+++ b/crates/server/src/service/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration, start, reload, drain and stop, and the threads that listen to clients and to the event bus.
 
+pub mod arrivals;
 pub mod bus;
 pub mod clients;
 pub mod clock;
--- a/crates/server/src/wire/client.rs
+++ b/crates/server/src/wire/client.rs
@@ -195,6 +195,18 @@
     Well(bool),
 }
 
+impl Reply<'_> {
+    /// Its sort in a word, for the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Reply::Done(_) => "done",
+            Reply::Throttled(_) => "throttled",
+            Reply::Failed(_) => "failed",
+            Reply::Well(_) => "well",
+        }
+    }
+}
+
 pub fn encode(message: u32, reply: &Reply) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(if let Reply::Done(rows) = reply { rows.len() + 32 } else { 64 });
     // A Vec takes every write.
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -19,7 +19,8 @@
 use helpers::Crowded;
 use memory::budget::Budget;
 use memory::clients::CancelToken;
-use memory::engines::{Engine, Out, Request, Terms};
+use memory::dispatch_ledger::{DispatchLedger, RepeatRules};
+use memory::engines::{DispatchHandle, Engine, Request, Terms};
 use memory::owners::Owners;
 use pebblevane::interface::Span;
 use service::clock;
@@ -46,6 +47,7 @@
         reports: false,
     };
     let owners = Owners::start(terms, Budget::new(8), clock::now).unwrap();
+    let rules = RepeatRules::RunOnce;
     let mut trace = String::new();
     for what in ["wanted", "left", "late"] {
         let crowded = Crowded::start();
@@ -58,10 +60,11 @@
             ends: far,
             begin_by: if what == "late" { clock::now() + Span(100_000) } else { far },
             wanted: wanted.clone(),
+            ledger: Arc::new(DispatchLedger::new("0123456789abcdef", rules, far)),
             rank: None,
             statement: b"select 1".as_slice().into(),
         };
-        let out: Out = engine.send(request);
+        let out: DispatchHandle = engine.send(request);
         match what {
             "left" => wanted.cancel(),
             "late" => std::thread::sleep(Duration::from_millis(150)),
