A soak test over real processes on loopback: troubles by seed, judged from ledgers; deadlines kept whole

Its first twelve seeds (36 processes, 9 s, on a busy machine) found, by the program's own count, deadlines told to engines more than 0.15 s past the client's wait: a dispatch timed out a limit after its thread took it up, however late that was. It now carries the moment at which it ends.

--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -124,9 +124,8 @@
                     }
                 },
                 recv(self.steps) -> step => match step {
-                    Ok(Step::Dispatch { engine, copy, limit, begin_by, rank }) => {
+                    Ok(Step::Dispatch { engine, copy, ends, begin_by, rank }) => {
                         let sent = clock::now();
-                        let ends = sent + limit;
                         let (id, class) = (self.job.name.clone(), self.job.class.clone());
                         let (statement, wanted) = (self.job.statement.clone(), self.job.wanted.clone());
                         let ledger = self.job.ledger.clone();
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -71,7 +71,8 @@
     Dispatch {
         engine: Arc<Engine>,
         copy: u32,
-        limit: Span,
+        /// When it times out.
+        ends: Moment,
         begin_by: Moment,
         rank: Option<u8>,
     },
@@ -248,7 +249,7 @@
                 if let Some(open) = self.jobs.get_mut(&id) {
                     open.answered = true;
                     let decided = self.logic.gone(now, id);
-                    self.carry_out(decided);
+                    self.carry_out(now, decided);
                 }
             }
             if let Some(call) = call {
@@ -257,7 +258,7 @@
             // A wake is due however many calls wait, and is caught up once.
             if self.wake.is_some_and(|wake| wake <= now) {
                 let decided = self.logic.wake(now);
-                self.carry_out(decided);
+                self.carry_out(now, decided);
             }
         }
     }
@@ -292,10 +293,11 @@
             Call::Stopping { by } => self.logic.stopping(now, by),
             Call::Look => return,
         };
-        self.carry_out(decided);
+        self.carry_out(now, decided);
     }
 
-    fn carry_out(&mut self, decided: Decided) {
+    /// Carries out what was decided at this time.
+    fn carry_out(&mut self, now: Moment, decided: Decided) {
         if decided != (Decided { next_wake: decided.next_wake, ..Decided::default() }) {
             tracing::trace!("{decided:?}");
         }
@@ -317,8 +319,9 @@
                 let copy = open.copies;
                 open.copies += 1;
                 let (engine, rank) = (known.engine.clone(), dispatch.terms.map(|terms| terms.rank));
-                let (limit, begin_by) = (dispatch.limit, dispatch.begin_by);
-                let step = Step::Dispatch { engine, copy, limit, begin_by, rank };
+                // However late its thread takes this up, the client's wait ends when it ends.
+                let (ends, begin_by) = (now + dispatch.limit, dispatch.begin_by);
+                let step = Step::Dispatch { engine, copy, ends, begin_by, rank };
                 if !open.start(dispatch.job, &self.workers, &self.handle) {
                     refused.push((dispatch.job, copy));
                     continue;
@@ -350,8 +353,9 @@
                 bill: None,
                 report: Report::new(),
             };
-            let decided = self.logic.settle(clock::now(), id, copy, outcome);
-            self.carry_out(decided);
+            let now = clock::now();
+            let decided = self.logic.settle(now, id, copy, outcome);
+            self.carry_out(now, decided);
         }
     }
 
@@ -371,8 +375,9 @@
         let taken = self.engines.get(&id).is_some_and(|known| known.engine.probe(Box::new(told)));
         if !taken {
             let outcome = outcome(Verdict::TimedOut, Report::new(), Span::default());
-            let decided = self.logic.probed(clock::now(), id, outcome);
-            self.carry_out(decided);
+            let now = clock::now();
+            let decided = self.logic.probed(now, id, outcome);
+            self.carry_out(now, decided);
         }
     }
 
@@ -425,7 +430,7 @@
             self.engines.values().filter(|known| known.stage == Stage::Running).count()
         );
         let decided = self.logic.engines_changed(now, event.complete, listings);
-        self.carry_out(decided);
+        self.carry_out(now, decided);
     }
 
     /// A start that was told before stays where it was on the program's clock.
--- /dev/null
+++ b/crates/soak/src/bus.rs
@@ -0,0 +1,201 @@
+//! The event bus: numbered changes of the list of engines, told to each gateway on its own connection.
+
+use crate::engine::{self, Engine};
+use crate::ledger::{Event, GatewayRun};
+use crate::plan::Plan;
+use crate::world::{World, gateway_of, locked};
+use rand::Rng;
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+const HEARTBEAT: Duration = Duration::from_millis(1000);
+/// A new event is looked for this often.
+const LOOK: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+/// One change of one engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    pub engine: usize,
+    pub run: u32,
+    pub lifecycle: Lifecycle,
+    /// Unix milliseconds of a late start, or 0.
+    pub started_at_ms: i64,
+}
+
+#[derive(Default)]
+pub struct Bus {
+    state: Mutex<State>,
+    /// Changed when the bus goes down or moves: all its connections end.
+    epochs: watch::Sender<u32>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Event N is at position N - 1; the first holds the whole list.
+    events: Vec<Vec<Change>>,
+    port: u16,
+    /// Watches that were open at the first time say nothing until the second.
+    silent: Option<(Instant, Instant)>,
+}
+
+impl Bus {
+    pub fn port(&self) -> u16 {
+        locked(&self.state).port
+    }
+
+    pub fn publish(&self, world: &World, changes: Vec<Change>) {
+        for change in &changes {
+            let (engine, run) = (change.engine, change.run);
+            world.ledger.event(match change.lifecycle {
+                Lifecycle::InService => Event::StartListed { engine, run },
+                Lifecycle::Terminating | Lifecycle::Terminated => Event::Drained { engine, run },
+            });
+        }
+        locked(&self.state).events.push(changes);
+    }
+
+    /// Open watches say nothing for a while.
+    pub fn fall_silent(&self, time: Duration) {
+        let now = Instant::now();
+        locked(&self.state).silent = Some((now, now + time));
+    }
+
+    /// Ends all connections and refuses new ones.
+    pub fn stop(&self) {
+        self.epochs.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Listens, at the old port or a new one.
+    pub async fn start(&self, world: &Arc<World>, same_port: bool) -> std::io::Result<()> {
+        let port = if same_port { self.port() } else { 0 };
+        let listener = loop {
+            match TcpListener::bind(("0.0.0.0", port)).await {
+                Ok(listener) => break listener,
+                Err(_) if port != 0 => tokio::time::sleep(LOOK).await,
+                Err(e) => return Err(e),
+            }
+        };
+        locked(&self.state).port = listener.local_addr()?.port();
+        let (world, mut epochs) = (world.clone(), self.epochs.subscribe());
+        let epoch = *epochs.borrow_and_update();
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { continue };
+                        let Some(gateway) = stream.local_addr().ok().and_then(gateway_of) else { continue };
+                        tokio::spawn(feed(world.clone(), stream, gateway, epoch));
+                    }
+                    _ = epochs.changed() => return,
+                }
+            }
+        });
+        Ok(())
+    }
+
+    /// The list after the first `offset` events.
+    fn list(&self, offset: usize) -> Vec<Change> {
+        let mut all: BTreeMap<usize, Change> = BTreeMap::new();
+        for change in locked(&self.state).events[..offset].iter().flatten() {
+            all.insert(change.engine, *change);
+        }
+        all.into_values().filter(|change| change.lifecycle != Lifecycle::Terminated).collect()
+    }
+
+    /// What a gateway is told at its start: the list as it is, or as it was at the beginning.
+    pub fn known(&self, world: &World, to: GatewayRun, stale: bool) -> Json {
+        let all = locked(&self.state).events.len();
+        let offset = if stale { 1 } else { all };
+        let list = self.list(offset);
+        tell(world, to, &list);
+        json!({"offset": offset, "batch": [render(world, to.gateway, offset, true, &list)]})
+    }
+
+    fn after(&self, offset: usize) -> Vec<(usize, Vec<Change>)> {
+        let state = locked(&self.state);
+        state.events.iter().enumerate().skip(offset).map(|(at, event)| (at + 1, event.clone())).collect()
+    }
+
+    fn is_silent(&self, opened: Instant) -> bool {
+        locked(&self.state).silent.is_some_and(|(from, until)| opened < from && Instant::now() < until)
+    }
+}
+
+fn tell(world: &World, to: GatewayRun, changes: &[Change]) {
+    for change in changes {
+        let drained = change.lifecycle != Lifecycle::InService;
+        world.ledger.event(Event::Told { to, engine: change.engine, run: change.run, drained });
+    }
+}
+
+fn render(world: &World, gateway: usize, offset: usize, reset: bool, changes: &[Change]) -> Json {
+    let entries: Vec<Json> = changes.iter().filter_map(|change| entry(world, gateway, change)).collect();
+    json!({"offset": offset, "topology": {"generation": offset, "reset": reset, "instances": entries}})
+}
+
+fn entry(world: &World, gateway: usize, change: &Change) -> Option<Json> {
+    let engine: Arc<Engine> = world.engine(change.engine)?;
+    let lifecycle = match change.lifecycle {
+        Lifecycle::InService => "in_service",
+        Lifecycle::Terminating => "terminating",
+        Lifecycle::Terminated => "terminated",
+    };
+    Some(json!({"instanceId": engine.name(), "hostPort": engine::address(&engine, gateway).to_string(),
+        "zone": Plan::zone_name(engine.zone), "machineType": "std", "cell": engine.zone,
+        "lifecycle": lifecycle, "weight": world.plan.cores, "startedAtMs": change.started_at_ms}))
+}
+
+/// Tells one gateway what it asks for, until the bus goes down.
+async fn feed(world: Arc<World>, stream: TcpStream, gateway: usize, epoch: u32) {
+    let mut epochs = world.bus.epochs.subscribe();
+    if *epochs.borrow_and_update() != epoch {
+        return;
+    }
+    let to = world.run_of(gateway);
+    let serving = async {
+        let mut stream = BufReader::new(stream);
+        let mut line = String::new();
+        stream.read_line(&mut line).await?;
+        let mut offset: usize = line.trim().strip_prefix("from ").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let (opened, mut beaten) = (Instant::now(), Instant::now() - HEARTBEAT);
+        loop {
+            if world.bus.is_silent(opened) {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            for (number, changes) in world.bus.after(offset) {
+                let line = format!("{}\n", render(&world, gateway, number, number == 1, &changes));
+                // Some events come in two pieces.
+                let cut = if rand::rng().random_bool(0.2) { line.len() / 2 } else { 0 };
+                stream.get_mut().write_all(&line.as_bytes()[..cut]).await?;
+                tokio::time::sleep(Duration::from_millis(if cut > 0 { 5 } else { 0 })).await;
+                stream.get_mut().write_all(&line.as_bytes()[cut..]).await?;
+                tell(&world, to, &changes);
+                (offset, beaten) = (number, Instant::now());
+            }
+            if beaten.elapsed() >= HEARTBEAT {
+                beaten = Instant::now();
+                stream.get_mut().write_all(format!("{{\"offset\":{offset}}}\n").as_bytes()).await?;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        #[allow(unreachable_code)] // names the type of the block's errors
+        std::io::Result::Ok(())
+    };
+    tokio::select! {
+        _ = serving => {}
+        _ = epochs.changed() => {}
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,304 @@
+//! What one seed plays: the deployment, the settings and the troubles with their times. Made before anything starts, so
+//! that a seed can be played again and its schedule be printed beside a violation.
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use serde_json::{Value as Json, json};
+use std::time::Duration;
+
+/// Traffic begins this long after the programs were started.
+pub const TRAFFIC_FROM: Duration = Duration::from_millis(1500);
+/// How long before the end of the traffic the last trouble begins.
+const LAST_TROUBLE: f64 = 1.0;
+
+/// What the settings say of repeating a class's jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Semantics {
+    Restartable,
+    Keyed,
+    RunOnce,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Class {
+    pub name: &'static str,
+    pub semantics: Semantics,
+    /// How long its clients wait (ms): at least and at most.
+    pub patience_ms: [u64; 2],
+    /// Work of a job on an idle engine (ms).
+    pub work_ms: u64,
+    /// The only zone in which its jobs may run.
+    pub zone: Option<usize>,
+}
+
+/// The figures of the settings that rules are judged by.
+#[derive(Clone, Debug, Serialize)]
+pub struct Rules {
+    pub dedup_window: Duration,
+    pub budget_window: Duration,
+    pub spare_attempts: f64,
+    pub extra_ratio: f64,
+    pub drain_grace: Duration,
+    pub fall_multiple: f64,
+    pub overload_for: Duration,
+    pub start_capacity: f64,
+    pub warm_after: Duration,
+}
+
+/// One disturbance. Indices are of gateways and engines.
+#[derive(Clone, Debug, Serialize)]
+pub enum Trouble {
+    DrainEngines {
+        engines: Vec<usize>,
+    },
+    /// Their processes die and new ones listen elsewhere, under new names, cold.
+    ReplaceEngines {
+        engines: Vec<usize>,
+    },
+    /// Their processes die and listen again at the same addresses, cold.
+    RestartEngines {
+        engines: Vec<usize>,
+        down_ms: u64,
+    },
+    /// They read and answer nothing for a while.
+    HangEngines {
+        engines: Vec<usize>,
+        for_ms: u64,
+    },
+    /// Links from some gateways to some engines carry nothing for a while.
+    CutLinks {
+        gateways: Vec<usize>,
+        engines: Vec<usize>,
+        for_ms: u64,
+    },
+    /// Connections are reset, half of them under requests.
+    ResetConnections {
+        engines: Vec<usize>,
+    },
+    /// Answers are spoilt, late, twice or never end.
+    SpoilAnswers {
+        engines: Vec<usize>,
+        share: f64,
+        for_ms: u64,
+    },
+    /// Engines answer errors and refusals.
+    FailJobs {
+        engines: Vec<usize>,
+        share: f64,
+        for_ms: u64,
+    },
+    BusDown {
+        for_ms: u64,
+    },
+    /// Open watches fall silent.
+    BusSilent {
+        for_ms: u64,
+    },
+    /// The bus moves; the gateways are told by a new configuration, which is written in halves.
+    BusMoves {
+        times: u32,
+    },
+    StopGateways {
+        gateways: Vec<usize>,
+    },
+    KillGateways {
+        gateways: Vec<usize>,
+    },
+    /// They get no processor for a while.
+    FreezeGateways {
+        gateways: Vec<usize>,
+        for_ms: u64,
+    },
+    StepClocks {
+        gateways: Vec<usize>,
+        by_s: i64,
+        engines_too: bool,
+    },
+    FailCalls {
+        gateways: Vec<usize>,
+        share: f64,
+        for_ms: u64,
+    },
+    ClientsLeave {
+        gateways: Vec<usize>,
+    },
+    IdleFlood {
+        gateways: Vec<usize>,
+        connections: usize,
+        for_ms: u64,
+    },
+    BadClients {
+        gateways: Vec<usize>,
+        for_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Scheduled {
+    pub at_ms: u64,
+    pub trouble: Trouble,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub gateways: usize,
+    pub engines: usize,
+    pub cores: f64,
+    pub zones: usize,
+    pub classes: Vec<Class>,
+    pub rules: Rules,
+    /// Traffic ends, and all gateways are told to stop, this long after the programs were started.
+    pub traffic_until_ms: u64,
+    /// Pause between the jobs of one client (ms).
+    pub think_ms: u64,
+    pub clients_per_gateway: usize,
+    pub schedule: Vec<Scheduled>,
+}
+
+impl Plan {
+    pub fn draw(seed: u64, gateways: usize, seconds: f64) -> Plan {
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let engines = chance.random_range(6..=14);
+        let zones = chance.random_range(1..=2);
+        let mut class = |name, semantics, work_ms, zone| {
+            let least = chance.random_range(2..=6) * 150;
+            Class { name, semantics, patience_ms: [least, least * 3], work_ms, zone }
+        };
+        let classes = vec![
+            class("lookup", Semantics::Restartable, 20, None),
+            class("load", Semantics::RunOnce, 60, None),
+            class("post", Semantics::Keyed, 40, None),
+            class("local", Semantics::Restartable, 30, (zones > 1).then_some(1)),
+        ];
+        let rules = Rules {
+            dedup_window: Duration::from_millis(chance.random_range(4..=20) * 100),
+            budget_window: Duration::from_millis(chance.random_range(10..=40) * 100),
+            spare_attempts: f64::from(chance.random_range(2..=6)),
+            extra_ratio: f64::from(chance.random_range(5..=30)) / 100.0,
+            drain_grace: Duration::from_millis(1000),
+            fall_multiple: 2.0,
+            overload_for: Duration::from_millis([500, 1000, 2000][chance.random_range(0..3)]),
+            start_capacity: f64::from(chance.random_range(15..=50)) / 100.0,
+            warm_after: Duration::from_millis(chance.random_range(4..=10) * 1000),
+        };
+        let mut plan = Plan {
+            seed,
+            gateways,
+            engines,
+            cores: [4.0, 8.0, 16.0][chance.random_range(0..3)],
+            zones,
+            classes,
+            rules,
+            traffic_until_ms: (seconds * 1000.0) as u64,
+            think_ms: chance.random_range(150..=500),
+            clients_per_gateway: chance.random_range(2..=4),
+            schedule: vec![],
+        };
+        let count = chance.random_range(3..=6);
+        // Troubles that overlap: most begin within a second of one another.
+        let last = seconds - LAST_TROUBLE;
+        let first = TRAFFIC_FROM.as_secs_f64() + 0.5;
+        let heart = chance.random_range(first..last.max(first + 0.1));
+        for _ in 0..count {
+            let at = if chance.random_bool(0.7) {
+                (heart + chance.random_range(-0.7..0.7)).clamp(first, last.max(first))
+            } else {
+                chance.random_range(first..last.max(first + 0.1))
+            };
+            let trouble = plan.draw_trouble(&mut chance);
+            plan.schedule.push(Scheduled { at_ms: (at * 1000.0) as u64, trouble });
+        }
+        plan.schedule.sort_by_key(|scheduled| scheduled.at_ms);
+        plan
+    }
+
+    fn draw_trouble(&self, chance: &mut ChaCha8Rng) -> Trouble {
+        let engines = self.some(chance, self.engines, 0.1, 0.45);
+        let gateways = self.some(chance, self.gateways, 0.1, 0.6);
+        let for_ms = chance.random_range(3..=30) * 100;
+        match chance.random_range(0..20) {
+            0 => Trouble::DrainEngines { engines },
+            1 => Trouble::ReplaceEngines { engines },
+            2 => Trouble::RestartEngines { engines, down_ms: chance.random_range(0..=800) },
+            3 | 4 => Trouble::HangEngines { engines, for_ms },
+            5 => Trouble::CutLinks { gateways, engines, for_ms },
+            6 => Trouble::ResetConnections { engines },
+            7 => Trouble::SpoilAnswers { engines, share: chance.random_range(0.1..0.6), for_ms },
+            8 => Trouble::FailJobs { engines, share: chance.random_range(0.1..0.7), for_ms },
+            9 => Trouble::BusDown { for_ms: for_ms * 2 },
+            10 => Trouble::BusSilent { for_ms },
+            11 => Trouble::BusMoves { times: chance.random_range(1..=3) },
+            12 | 13 => Trouble::StopGateways { gateways },
+            14 => Trouble::KillGateways { gateways },
+            15 => Trouble::FreezeGateways { gateways, for_ms: chance.random_range(50..=350) },
+            16 => Trouble::StepClocks {
+                gateways,
+                by_s: *[-3600, -5, 5, 3600].choose(chance).unwrap_or(&5),
+                engines_too: chance.random_bool(0.5),
+            },
+            17 => Trouble::FailCalls { gateways, share: chance.random_range(0.01..0.2), for_ms },
+            18 => Trouble::ClientsLeave { gateways },
+            _ if chance.random_bool(0.5) => {
+                Trouble::IdleFlood { gateways, connections: chance.random_range(5..=120), for_ms }
+            }
+            _ => Trouble::BadClients { gateways, for_ms },
+        }
+    }
+
+    fn some(&self, chance: &mut ChaCha8Rng, of: usize, least: f64, most: f64) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..of).collect();
+        all.shuffle(chance);
+        let share = chance.random_range(least..most);
+        all.truncate(((of as f64 * share).round() as usize).max(1));
+        all.sort_unstable();
+        all
+    }
+
+    pub fn zone_of(&self, engine: usize) -> usize {
+        engine % self.zones
+    }
+
+    pub fn zone_name(zone: usize) -> String {
+        format!("zone-{zone}")
+    }
+
+    /// The settings that a gateway is started with.
+    pub fn settings(&self, gateway: usize) -> Json {
+        let classes: Vec<Json> = self.classes.iter().map(|class| self.class_settings(class)).collect();
+        let zones: Vec<String> = (0..self.zones).map(Plan::zone_name).collect();
+        let rules = &self.rules;
+        let ms = |span: Duration| span.as_millis() as f64;
+        json!({
+            "Classes": classes, "Balancers": self.gateways, "Ordinal": gateway, "Tick": 5.0,
+            "Zones": zones, "Zone": gateway % self.zones, "Flavors": ["std"], "MembershipMode": "push",
+            "Extra": {"CpuOfKind": [self.cores], "ClassThreads": [1, 1, 1, 1], "RanksHeeded": true,
+                "Progress": 300.0},
+            "Report": {"How": "pull", "Names": ["load_share"]},
+            "Deductions": {"Probe": 0.02, "CrossZone": 0.02},
+            "Ceilings": {"Cancelling": true, "Probes": true, "TryLimit": 5, "StreamsPerConn": 32,
+                "DialTimeout": 250.0, "ConnIdle": 5000.0},
+            "Contract": {"FallMultiple": rules.fall_multiple, "OverloadFor": ms(rules.overload_for),
+                "StartCapacity": rules.start_capacity, "WarmAfter": ms(rules.warm_after),
+                "BudgetWindow": ms(rules.budget_window), "SpareAttempts": rules.spare_attempts,
+                "ExtraRatio": rules.extra_ratio, "DrainGrace": ms(rules.drain_grace)},
+        })
+    }
+
+    fn class_settings(&self, class: &Class) -> Json {
+        let semantics = match class.semantics {
+            Semantics::Restartable => "read_like",
+            Semantics::Keyed => "idempotency_key",
+            Semantics::RunOnce => "non_idempotent",
+        };
+        let mut settings = json!({"Name": class.name, "Semantics": semantics, "Aim": class.patience_ms[0],
+            "GiveUp": class.patience_ms[1], "Worth": 1.0, "Group": "zone",
+            "DedupWindow": self.rules.dedup_window.as_millis() as f64});
+        if let Some(zone) = class.zone {
+            settings["ConfinedTo"] = json!([zone]);
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,100 @@
+//! What a person is shown of a play.
+
+use crate::judge::Violation;
+use crate::ledger::{At, Event};
+use crate::run::Played;
+use std::fmt::Write;
+use std::path::Path;
+
+/// Violations that are shown one by one.
+const MOST_SHOWN: usize = 6;
+const LOG_LINES: usize = 60;
+
+fn seconds(at: At) -> String {
+    format!("{:>9.4}", at as f64 / 1e6)
+}
+
+/// One line on a play.
+pub fn line(played: &Played) -> String {
+    let verdict = &played.verdict;
+    let broken = verdict.broken().count();
+    let unsure = verdict.violations.len() - broken;
+    let end = if broken == 0 { "passed".to_string() } else { format!("FAILED, {broken} violations") };
+    let unsure = if unsure > 0 { format!(", {unsure} unsure as the test lagged") } else { String::new() };
+    format!(
+        "seed {}: {end}{unsure} ({} requests: {} done, {} busy, {} failed; {} dispatches; {} crossings; {} at killed gateways)",
+        played.plan.seed,
+        verdict.requests,
+        verdict.done,
+        verdict.busy,
+        verdict.failed,
+        verdict.dispatches,
+        verdict.crossings,
+        verdict.killed
+    )
+}
+
+/// The schedule, the violations, and the first one's request through every process.
+pub fn details(played: &Played, folder: &Path) -> String {
+    let mut text = String::new();
+    for scheduled in &played.plan.schedule {
+        let _ = writeln!(text, "  at {:>5} ms {:?}", scheduled.at_ms, scheduled.trouble);
+    }
+    let verdict = &played.verdict;
+    for violation in verdict.broken().take(MOST_SHOWN) {
+        let _ = writeln!(text, "  {}", one_violation(violation));
+    }
+    let first = verdict.broken().find(|violation| violation.id.is_some());
+    if let Some(id) = first.and_then(|violation| violation.id.as_ref()) {
+        let _ = writeln!(text, "  request {id}:");
+        text += &timeline(played, id, folder);
+    }
+    text
+}
+
+fn one_violation(violation: &Violation) -> String {
+    let id = violation.id.as_deref().unwrap_or("-");
+    format!("{} {:?} {id}: {}", seconds(violation.at), violation.rule, violation.what)
+}
+
+/// All that any process has said of a request, in the order of time.
+fn timeline(played: &Played, id: &str, folder: &Path) -> String {
+    let mut lines: Vec<(At, String)> = vec![];
+    for request in played.books.requests.iter().filter(|request| request.id == id) {
+        let class = played.plan.classes[request.class].name;
+        let what = format!(
+            "client: {class}, {} ms, to {:?}, fresh {}",
+            request.patience_ms, request.to, request.fresh
+        );
+        lines.push((request.sent, what));
+        lines.extend(request.end.iter().map(|(at, end)| (*at, format!("client: {end:?}"))));
+        let concerns = |event: &Event| match event {
+            Event::GatewayStopping { run }
+            | Event::GatewayKilled { run }
+            | Event::GatewayFrozen { run }
+            | Event::GatewayThawed { run }
+            | Event::GatewayEnded { run, .. } => *run == request.to,
+            _ => false,
+        };
+        let events = played.books.events.iter().filter(|(_, event)| concerns(event));
+        lines.extend(events.map(|(at, event)| (*at, format!("supervisor: {event:?}"))));
+    }
+    for dispatch in played.books.dispatches.iter().filter(|dispatch| dispatch.id == id) {
+        let (engine, run) = (dispatch.engine, dispatch.engine_run);
+        lines.push((dispatch.at, format!("engine {engine} run {run}: read, limit {} ms", dispatch.limit_ms)));
+        lines.extend(
+            dispatch.end.iter().map(|(at, end)| (*at, format!("engine {engine} run {run}: {end:?}"))),
+        );
+    }
+    let logs = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    for log in logs.filter(|file| file.path().extension().is_some_and(|ending| ending == "log")) {
+        let name = log.file_name().to_string_lossy().to_string();
+        let told = std::fs::read_to_string(log.path()).unwrap_or_default();
+        for line in told.lines().filter(|line| line.contains(id)).take(LOG_LINES) {
+            let (at, what) = line.split_once(' ').unwrap_or(("0", line));
+            lines.push((at.parse().unwrap_or(0), format!("{name}: {what}")));
+        }
+    }
+    lines.sort();
+    lines.iter().map(|(at, what)| format!("    {} {what}\n", seconds(*at))).collect()
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,92 @@
+//! What the parts of one play share: the plan, the ledger, and who listens where. Each gateway has its own address for
+//! everything it talks to, so that each link can be troubled by itself.
+
+use crate::bus::Bus;
+use crate::engine::Engine;
+use crate::gateway::Gateway;
+use crate::ledger::{GatewayRun, Ledger};
+use crate::plan::Plan;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Instant, SystemTime};
+
+pub struct World {
+    pub plan: Plan,
+    pub ledger: Ledger,
+    pub began: Instant,
+    /// Where configurations, logs and control files lie.
+    pub folder: PathBuf,
+    pub program: PathBuf,
+    engines: Mutex<Vec<Arc<Engine>>>,
+    pub bus: Bus,
+    pub gateways: Vec<Gateway>,
+    /// The clock that stamps engines' starts, less the system's (microseconds).
+    pub stamp_offset_us: AtomicI64,
+    /// Traffic has ended.
+    pub over: AtomicBool,
+}
+
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The address under which a gateway meets whoever listens on a port.
+pub fn link_address(gateway: usize, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 1, (gateway + 1) as u8, 1)), port)
+}
+
+/// The gateway that came to this address of ours.
+pub fn gateway_of(local: SocketAddr) -> Option<usize> {
+    match local.ip() {
+        IpAddr::V4(ip) => Some(usize::from(ip.octets()[2]).checked_sub(1)?),
+        IpAddr::V6(_) => None,
+    }
+}
+
+impl World {
+    pub fn new(plan: Plan, folder: PathBuf, program: PathBuf, port: u16) -> World {
+        let gateways = (0..plan.gateways).map(|gateway| Gateway::new(gateway, port)).collect();
+        World {
+            plan,
+            ledger: Ledger::begin(),
+            began: Instant::now(),
+            folder,
+            program,
+            engines: Mutex::default(),
+            bus: Bus::default(),
+            gateways,
+            stamp_offset_us: AtomicI64::new(0),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.over.load(SeqCst)
+    }
+
+    pub fn engine(&self, index: usize) -> Option<Arc<Engine>> {
+        locked(&self.engines).get(index).cloned()
+    }
+
+    /// Adds an engine; returns it with its number.
+    pub fn add_engine(&self) -> Arc<Engine> {
+        let mut engines = locked(&self.engines);
+        let index = engines.len();
+        let engine = Arc::new(Engine::new(index, self.plan.zone_of(index)));
+        engines.push(engine.clone());
+        engine
+    }
+
+    /// The run of a gateway's process that is under way.
+    pub fn run_of(&self, gateway: usize) -> GatewayRun {
+        GatewayRun { gateway, run: self.gateways[gateway].run() }
+    }
+
+    /// Unix time in milliseconds by the clock that stamps engines' starts.
+    pub fn stamp_ms(&self) -> i64 {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        (unix.as_micros() as i64 + self.stamp_offset_us.load(SeqCst)) / 1000
+    }
+}
