--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -26,11 +26,19 @@
 use service::clock;
 use std::io::Read;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::Duration;
 
 const STACK: usize = 64 * 1024;
 
+/// Threads with such a name can't be made while this is set.
+const REFUSED: &str = "dial refused";
+static REFUSES: AtomicBool = AtomicBool::new(false);
+
 fn thread(name: &str, stack: usize, what: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    if name == REFUSED && REFUSES.load(SeqCst) {
+        return Err(std::io::ErrorKind::WouldBlock.into());
+    }
     std::thread::Builder::new().name(name.to_string()).stack_size(stack).spawn(what).map(drop)
 }
 
@@ -93,3 +101,44 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// While one connection is being made and no thread can be made for a second one, the owners go on with what else there
+/// is: here a dispatch that is given up.
+#[test]
+fn owners_go_on_where_no_thread_can_be_made() {
+    let far = clock::now() + Span(60_000_000);
+    let terms = Terms {
+        streams: 32,
+        dial: Duration::from_secs(9),
+        idle: Duration::from_secs(9),
+        notes: None,
+        connections: 8,
+        reports: false,
+    };
+    let owners = Owners::start(terms, Budget::new(8), clock::now).unwrap();
+    let crowded = Crowded::start();
+    let engine = Engine::new(&owners, "refused", crowded.address.parse().unwrap());
+    let request = |id: &str| Request {
+        id: id.into(),
+        class: "load".into(),
+        ends: far,
+        begin_by: far,
+        wanted: Arc::new(CancelToken::default()),
+        ledger: Arc::new(DispatchLedger::new(id, RepeatRules::RunOnce, far)),
+        rank: None,
+        statement: b"select 1".as_slice().into(),
+    };
+    let first = engine.send(request("0000000000000001"));
+    // Its connection is under way once another order has been carried out behind it.
+    let ended = |given_up: crossbeam_channel::Receiver<()>| {
+        given_up.recv_timeout(Duration::from_secs(5))
+            == Err(crossbeam_channel::RecvTimeoutError::Disconnected)
+    };
+    let behind = Engine::new(&owners, "behind", crowded.address.parse().unwrap());
+    assert!(ended(behind.send(request("0000000000000002")).give_up()));
+    REFUSES.store(true, SeqCst);
+    let second = engine.send(request("0000000000000003"));
+    assert!(ended(second.give_up()), "the owners do nothing else");
+    REFUSES.store(false, SeqCst);
+    assert!(ended(first.give_up()));
+}
