The last look before a dispatch reads ahead; a dial that can't start waits; list lines by memory

Causes: the last look before a dispatch's first byte knew what the clients' thread had read, not what was there; dial_once said that a connection was being made when only another one was, so that its caller asked it again for ever; a list's line had one megabyte. Ruled out: the module (it heard of neither); closed connections (their events are taken up before any reading). Change: before its first byte the owner looks at the client's unread bytes for an end or a forget, never in the middle of a message; a dial that could not be started waits as what has no connection does; a line may take a sixteenth of the memory, one megabyte at least.

--- a/crates/server/src/job.rs
+++ b/crates/server/src/job.rs
@@ -1,7 +1,6 @@
 //! A job's life, from the client's request to its answer.
 
 use crate::memory::budget::Lease;
-use crate::memory::clients::CancelToken;
 use crate::memory::counts;
 use crate::memory::dispatch_ledger::DispatchLedger;
 use crate::memory::engines::{DispatchEvent, DispatchHandle, Request};
@@ -32,7 +31,6 @@
     pub name: Box<str>,
     pub class: Arc<str>,
     pub statement: Arc<[u8]>,
-    pub wanted: Arc<CancelToken>,
     pub responder: Arc<Responder>,
     pub ledger: Arc<DispatchLedger>,
     /// The bytes that the job may keep.
@@ -127,7 +125,7 @@
                     Ok(Step::Dispatch { engine, copy, ends, begin_by, rank }) => {
                         let sent = clock::now();
                         let (id, class) = (self.job.name.clone(), self.job.class.clone());
-                        let (statement, wanted) = (self.job.statement.clone(), self.job.wanted.clone());
+                        let (statement, wanted) = (self.job.statement.clone(), self.job.responder.clone());
                         let ledger = self.job.ledger.clone();
                         let request = Request { id, class, ends, begin_by, wanted, ledger, rank, statement };
                         let (out, begin_by) = (engine.send(request), Some(begin_by));
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -83,7 +83,7 @@
         let _ = left.send(());
     };
     thread("clients", STACK, serve).map_err(cannot("start a thread"))?;
-    let bus = Arc::new(bus::Bus::new(config.bus));
+    let bus = Arc::new(bus::Bus::new(config.bus, shares.list_line));
     let (follower, teller, offset, seed) = (bus.clone(), module.clone(), config.offset, config.seed);
     thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
         .map_err(cannot("start a thread"))?;
--- a/crates/server/src/memory/budget.rs
+++ b/crates/server/src/memory/budget.rs
@@ -16,6 +16,10 @@
 /// Where the descriptors for engines are shared by this many, each may have its part of them.
 const ENGINES: usize = 6;
 
+/// The part of the memory that one line of the event bus may take, and the least: a whole list is one line.
+const LIST_PART: usize = 16;
+const LEAST_LIST: usize = 1024 * 1024;
+
 /// What each part of the program may use.
 pub struct Shares {
     /// Client connections: more than the third that clients hold, so that others can be let in to be turned away.
@@ -26,6 +30,8 @@
     pub jobs: usize,
     /// Statements, results and unfinished messages.
     pub bytes: usize,
+    /// One line of the event bus.
+    pub list_line: usize,
 }
 
 impl Shares {
@@ -40,6 +46,7 @@
             engine: (engines / ENGINES).clamp(4, 48),
             jobs: (memory / 2 / JOB_BYTES).clamp(64, MOST_JOBS),
             bytes: (memory / 2).max(1024 * 1024),
+            list_line: (limits.memory_mb * 1024 * 1024 / LIST_PART).max(LEAST_LIST),
         }
     }
 }
--- a/crates/server/src/memory/clients.rs
+++ b/crates/server/src/memory/clients.rs
@@ -13,6 +13,8 @@
 
 /// Requests that one connection may hold open, as the protocol says.
 const OPEN: usize = 32;
+/// Unread bytes that are looked at before something is sent.
+const UNREAD: usize = 4096;
 /// A client that does not take its answers within this time is cut off.
 const WRITE: Duration = Duration::from_secs(2);
 
@@ -35,14 +37,33 @@
     }
 }
 
+/// Whether something is still to be sent for a job: the last look before its first byte.
+pub trait StillWanted: Send + Sync {
+    fn still_wanted(&self) -> bool;
+}
+
+impl StillWanted for CancelToken {
+    fn still_wanted(&self) -> bool {
+        !self.is_cancelled()
+    }
+}
+
 /// A client connection. Answers go out whole, one after another, and nobody waits for the client to take them.
 pub struct Client {
     pub stream: TcpStream,
     out: Mutex<Outgoing>,
     state: Mutex<State>,
+    reading: Mutex<ReadPosition>,
     _lease: Lease,
 }
 
+/// How far a connection has been read. Whoever reads holds it until what was read is dealt with.
+#[derive(Default)]
+pub struct ReadPosition {
+    /// A message has been read in part.
+    pub midway: bool,
+}
+
 struct Outgoing {
     /// What the client has not yet taken, and since when.
     bytes: Vec<u8>,
@@ -67,10 +88,28 @@
             stream,
             out: Mutex::new(Outgoing { bytes: Vec::new(), since, held, broken: false }),
             state: Mutex::new(State { open: HashMap::new(), since }),
+            reading: Mutex::default(),
             _lease: lease,
         }
     }
 
+    /// For whoever reads the connection and deals with what it reads.
+    pub fn reading(&self) -> MutexGuard<'_, ReadPosition> {
+        locked(&self.reading)
+    }
+
+    /// Whether the client has closed the connection, or taken this request back, in what has come and is not read yet.
+    pub fn has_withdrawn(&self, message: u32) -> bool {
+        // What is being read at this moment is dealt with at once.
+        let Ok(position) = self.reading.try_lock() else { return false };
+        let mut unread = [0; UNREAD];
+        match self.stream.peek(&mut unread) {
+            Ok(0) => true,
+            Ok(count) => !position.midway && wire::takes_back(&unread[..count], message),
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// Something has come.
     pub fn speaks(&self) {
         locked(&self.state).since = Instant::now();
--- a/crates/server/src/memory/engines.rs
+++ b/crates/server/src/memory/engines.rs
@@ -6,7 +6,7 @@
 //! ends all that is out on it.
 
 use super::budget::{Budget, Lease};
-use super::clients::CancelToken;
+use super::clients::StillWanted;
 use super::counts;
 use super::dispatch_ledger::DispatchLedger;
 use super::owners::Owners;
@@ -80,7 +80,7 @@
     pub ends: Moment,
     /// Its first byte leaves before this or never.
     pub begin_by: Moment,
-    pub wanted: Arc<CancelToken>,
+    pub wanted: Arc<dyn StillWanted>,
     pub ledger: Arc<DispatchLedger>,
     pub rank: Option<u8>,
     pub statement: Arc<[u8]>,
@@ -472,7 +472,7 @@
         let bytes = match &entry.what {
             What::Dispatch { request, gate, .. } => {
                 let now = (context.now)();
-                let over = request.wanted.is_cancelled() || now >= request.begin_by;
+                let over = !request.wanted.still_wanted() || now >= request.begin_by;
                 if over || !self.open.load(SeqCst) || !gate.pass(SENT) {
                     tracing::debug!("job {}: kept back from engine {}", request.id, self.name);
                     gate.pass(DROPPED);
@@ -543,6 +543,7 @@
         }
     }
 
+    /// Starts to make one more connection; says whether it could.
     fn dial_once(&mut self, context: &OwnerContext) -> bool {
         let Some(lease) = context.sockets.lease(1) else { return false };
         let (key, address, dial, orders) =
@@ -554,9 +555,12 @@
         });
         match dialed {
             Ok(()) => self.dialing += 1,
-            Err(e) => tracing::warn!("engine {}: no thread to connect with: {e}", self.name),
+            Err(e) => {
+                self.tell(|name, rest| format!("engine {name}: no thread to connect with: {e}{rest}"));
+                return false;
+            }
         }
-        self.dialing > 0
+        true
     }
 
     /// Where no connection can be made, those that are there are shared.
--- a/crates/server/src/memory/responder.rs
+++ b/crates/server/src/memory/responder.rs
@@ -1,6 +1,6 @@
 //! The one way of a request to its one answer, whoever gives it: the module, the job's thread or whoever admits jobs.
 
-use super::clients::{CancelToken, Client, Name};
+use super::clients::{CancelToken, Client, Name, StillWanted};
 use super::counts;
 use super::invariants::{self, Invariant};
 use crate::service::clock;
@@ -21,18 +21,24 @@
     /// When the client stops waiting.
     deadline: Moment,
     job: OnceLock<JobId>,
+    wanted: Arc<CancelToken>,
 }
 
 impl Responder {
     pub fn new(client: Arc<Client>, message: u32, id: &str, name: Name, deadline: Moment) -> Responder {
-        let name = Mutex::new(Some(name));
-        Responder { client, message, id: id.into(), name, deadline, job: OnceLock::new() }
+        let (name, wanted) = (Mutex::new(Some(name)), Arc::default());
+        Responder { client, message, id: id.into(), name, deadline, job: OnceLock::new(), wanted }
     }
 
     /// From now on an answer is owed, until it is given or the client takes the request back.
-    pub fn open(&self, job: JobId, wanted: Arc<CancelToken>) {
+    pub fn open(&self, job: JobId) {
         let _ = self.job.set(job);
-        self.client.open(self.message, job, wanted);
+        self.client.open(self.message, job, self.wanted.clone());
+    }
+
+    /// The job has its answer, or its client has left.
+    pub fn is_over(&self) -> bool {
+        self.wanted.is_cancelled()
     }
 
     /// Gives the answer, unless it has been given or the client has left; says whether it did. Whoever has it may ask
@@ -54,6 +60,16 @@
     }
 }
 
+impl StillWanted for Responder {
+    /// Also looks at what the client has sent and nobody has read yet.
+    fn still_wanted(&self) -> bool {
+        if !self.wanted.is_cancelled() && self.client.has_withdrawn(self.message) {
+            self.wanted.cancel();
+        }
+        !self.wanted.is_cancelled()
+    }
+}
+
 impl Drop for Responder {
     /// Whoever drops the last hold on a request has answered it, or its client has left.
     fn drop(&mut self) {
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -3,7 +3,6 @@
 //! clients that leave don't wait behind those. It decides nothing.
 
 use crate::job::{AdmittedJob, JobTask};
-use crate::memory::clients::CancelToken;
 use crate::memory::counts;
 use crate::memory::dispatch_ledger::DispatchLedger;
 use crate::memory::engines::Engine;
@@ -140,7 +139,7 @@
         let responder = admitted.responder.clone();
         let mut next = locked(&self.next);
         let id = JobId(*next);
-        responder.open(id, admitted.wanted.clone());
+        responder.open(id);
         self.open.fetch_add(1, SeqCst);
         let call = Call::Take { id, job, arrived, admitted: Box::new(admitted) };
         if self.calls.try_send(call).is_err() {
@@ -187,7 +186,6 @@
 /// What the module's thread keeps of a job.
 struct OpenJob {
     stage: JobStage,
-    wanted: Arc<CancelToken>,
     responder: Arc<Responder>,
     ledger: Arc<DispatchLedger>,
     answered: bool,
@@ -266,11 +264,11 @@
     fn answer(&mut self, now: Moment, call: Call) {
         let decided = match call {
             Call::Take { id, mut job, arrived, admitted } => {
-                let (wanted, responder) = (admitted.wanted.clone(), admitted.responder.clone());
-                let (ledger, stage) = (admitted.ledger.clone(), JobStage::Waiting(admitted));
-                let open = OpenJob { stage, wanted, responder, ledger, answered: false, copies: 0 };
+                let (responder, ledger) = (admitted.responder.clone(), admitted.ledger.clone());
+                let stage = JobStage::Waiting(admitted);
+                let open = OpenJob { stage, responder, ledger, answered: false, copies: 0 };
                 // Its client has left while it waited here: the module never hears of it.
-                if open.wanted.is_cancelled() {
+                if open.responder.is_over() {
                     self.handle.open.fetch_sub(1, SeqCst);
                     return;
                 }
@@ -281,7 +279,7 @@
             Call::Settle { id, copy, mut outcome } => {
                 let Some(open) = self.jobs.get_mut(&id) else { return };
                 // A client that has left is not waited for, whether or not that was told yet.
-                open.answered |= open.wanted.is_cancelled();
+                open.answered |= open.responder.is_over();
                 open.answered |= outcome.verdict == Verdict::Done;
                 outcome.over = open.answered;
                 self.logic.settle(now, id, copy, outcome)
--- a/crates/server/src/service/bus.rs
+++ b/crates/server/src/service/bus.rs
@@ -19,11 +19,12 @@
 const FIRST_LINE: Duration = Duration::from_millis(1500);
 const PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
-const LONGEST_LINE: usize = 1024 * 1024;
 
 /// Where the bus is, and the connection to it. The address may change while the program runs.
 pub struct Bus {
     at: Mutex<At>,
+    /// The longest line that is read, in bytes.
+    longest_line: usize,
     moved: (Sender<()>, Receiver<()>),
 }
 
@@ -33,8 +34,8 @@
 }
 
 impl Bus {
-    pub fn new(address: SocketAddr) -> Bus {
-        Bus { at: Mutex::new(At { address, stream: None }), moved: bounded(1) }
+    pub fn new(address: SocketAddr, longest_line: usize) -> Bus {
+        Bus { at: Mutex::new(At { address, stream: None }), longest_line, moved: bounded(1) }
     }
 
     fn at(&self) -> MutexGuard<'_, At> {
@@ -72,7 +73,7 @@
         let (mut pause, mut gap, mut complete) = (PAUSE_MS, None, None);
         loop {
             let (before, begun) = (last, Instant::now());
-            let why = listen(module, self.connect(last), &mut last, &mut gap, &mut complete);
+            let why = self.listen(module, self.connect(last), &mut last, &mut gap, &mut complete);
             self.at().stream = None;
             tracing::info!("event bus: {why}; the last event is {last}");
             module.list_lost();
@@ -87,10 +88,62 @@
             }
         }
     }
+
+    /// Reads one connection to its end; says why it ended. `complete` is when the list was last known to be complete.
+    fn listen(
+        &self,
+        module: &Module,
+        connected: std::io::Result<TcpStream>,
+        last: &mut u64,
+        gap: &mut Option<u64>,
+        complete: &mut Option<Moment>,
+    ) -> String {
+        let mut stream = match connected {
+            Ok(stream) => BufReader::new(stream),
+            Err(e) => return format!("cannot connect: {e}"),
+        };
+        let (mut bytes, mut within) = (Vec::new(), FIRST_LINE);
+        loop {
+            if let Err(why) = read_line(&mut stream, &mut bytes, within, self.longest_line) {
+                return why;
+            }
+            within = SILENCE;
+            match bus::line(&String::from_utf8_lossy(&bytes)) {
+                Ok(Line::Beat(told)) if told > *last => {
+                    return format!("event {told} is there but did not come");
+                }
+                Ok(Line::Beat(_)) => *complete = Some(clock::now()),
+                Ok(Line::Event(event)) if event.offset <= *last => {}
+                // Where the same gap comes again, what is missing can't be had: better to miss it than all that follows.
+                Ok(Line::Event(event))
+                    if event.offset > *last + 1 && !event.complete && gap.replace(*last) != Some(*last) =>
+                {
+                    return format!("event {} came after {last}", event.offset);
+                }
+                Ok(Line::Event(event)) => {
+                    *last = event.offset;
+                    for why in &event.odd {
+                        counts::ODD_EVENTS.add();
+                        tracing::warn!("event bus: an entry of event {last} is passed over: {why}");
+                    }
+                    module.listed(event, *complete);
+                }
+                Err(why) => {
+                    counts::ODD_EVENTS.add();
+                    tracing::warn!("event bus: a line is passed over: {why}");
+                }
+            }
+        }
+    }
 }
 
 /// Reads one line within this time, however slowly its bytes come.
-fn read_line(stream: &mut BufReader<TcpStream>, bytes: &mut Vec<u8>, within: Duration) -> Result<(), String> {
+fn read_line(
+    stream: &mut BufReader<TcpStream>,
+    bytes: &mut Vec<u8>,
+    within: Duration,
+    longest: usize,
+) -> Result<(), String> {
     bytes.clear();
     let due = Instant::now() + within;
     loop {
@@ -112,52 +165,11 @@
         if end.is_some() {
             return Ok(());
         }
-        if bytes.len() > LONGEST_LINE || Instant::now() >= due {
-            return Err("a line does not come to its end".to_string());
-        }
-    }
-}
-
-/// Reads one connection to its end; says why it ended. `complete` is when the list was last known to be complete.
-fn listen(
-    module: &Module,
-    connected: std::io::Result<TcpStream>,
-    last: &mut u64,
-    gap: &mut Option<u64>,
-    complete: &mut Option<Moment>,
-) -> String {
-    let mut stream = match connected {
-        Ok(stream) => BufReader::new(stream),
-        Err(e) => return format!("cannot connect: {e}"),
-    };
-    let (mut bytes, mut within) = (Vec::new(), FIRST_LINE);
-    loop {
-        if let Err(why) = read_line(&mut stream, &mut bytes, within) {
-            return why;
+        if bytes.len() > longest {
+            return Err(format!("a line is longer than {longest} bytes"));
         }
-        within = SILENCE;
-        match bus::line(&String::from_utf8_lossy(&bytes)) {
-            Ok(Line::Beat(told)) if told > *last => return format!("event {told} is there but did not come"),
-            Ok(Line::Beat(_)) => *complete = Some(clock::now()),
-            Ok(Line::Event(event)) if event.offset <= *last => {}
-            // Where the same gap comes again, what is missing can't be had: better to miss it than all that follows.
-            Ok(Line::Event(event))
-                if event.offset > *last + 1 && !event.complete && gap.replace(*last) != Some(*last) =>
-            {
-                return format!("event {} came after {last}", event.offset);
-            }
-            Ok(Line::Event(event)) => {
-                *last = event.offset;
-                for why in &event.odd {
-                    counts::ODD_EVENTS.add();
-                    tracing::warn!("event bus: an entry of event {last} is passed over: {why}");
-                }
-                module.listed(event, *complete);
-            }
-            Err(why) => {
-                counts::ODD_EVENTS.add();
-                tracing::warn!("event bus: a line is passed over: {why}");
-            }
+        if Instant::now() >= due {
+            return Err("a line does not come to its end".to_string());
         }
     }
 }
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::job::{AdmittedJob, USUAL_RESULT};
 use crate::memory::budget::{Budget, Lease, Shares};
-use crate::memory::clients::{CancelToken, Client, Names};
+use crate::memory::clients::{Client, Names};
 use crate::memory::counts;
 use crate::memory::dispatch_ledger::{DispatchLedger, RepeatRules};
 use crate::memory::responder::Responder;
@@ -448,6 +448,14 @@
     /// Reads what is there, then deals with it: a client that has left behind its messages, or taken them back, is
     /// heard before any of them is taken. Says whether more may be there.
     fn read(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
+        let client = self.client.clone();
+        let mut position = client.reading();
+        let more = self.read_and_handle(shared, piece, arrived);
+        position.midway = !self.bytes.is_empty();
+        more
+    }
+
+    fn read_and_handle(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
         let mut more = true;
         for _ in 0..TURN {
             let count = match (&self.client.stream).read(piece) {
@@ -608,7 +616,6 @@
         name: ask.id,
         class: shared.classes[ask.reservation].clone(),
         statement: ask.statement.into(),
-        wanted: Arc::new(CancelToken::default()),
         bytes,
         _place: place,
     };
--- a/crates/server/src/wire/client.rs
+++ b/crates/server/src/wire/client.rs
@@ -105,6 +105,17 @@
     }
 }
 
+/// Whether one of these messages, the last of which may be cut, takes a request back.
+pub fn takes_back(mut bytes: &[u8], request: u32) -> bool {
+    while let Frame::Whole(length) = frame(bytes) {
+        if matches!(decode(&bytes[..length], &[]), Some(Message::Forget(taken)) if taken.contains(&request)) {
+            return true;
+        }
+        bytes = &bytes[length..];
+    }
+    false
+}
+
 /// Decodes a whole message; none if it is no message of this protocol. `types` are the names of the
 /// reservation types.
 pub fn decode(mut bytes: &[u8], types: &[String]) -> Option<Message> {
