--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -153,7 +153,7 @@
         Lifecycle::Terminated => "terminated",
     };
     Some(json!({"instanceId": engine.name(), "hostPort": engine::address(&engine, gateway).to_string(),
-        "zone": Plan::zone_name(engine.zone), "machineType": "std", "cell": engine.zone,
+        "zone": Plan::zone_name(engine.zone), "machineType": "std", "cell": world.plan.cell_of(engine.index),
         "lifecycle": lifecycle, "weight": world.plan.cores, "startedAtMs": change.started_at_ms}))
 }
 
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,10 @@
 const MOST_REQUESTS: usize = 8;
 /// Clients close idle connections after 4 s; this one asks before that.
 const LONGEST_REST: u64 = 3500;
+/// Some rest until the gateway ends the connection (ms), and ask in just that moment.
+const REST_TO_THE_END: std::ops::Range<u64> = 4900..5300;
+/// Requests with next to no time left (ms).
+const SHORT_PATIENCE: std::ops::Range<u64> = 1..60;
 
 static IDS: AtomicU64 = AtomicU64::new(1);
 
@@ -126,7 +130,9 @@
                 _ => {}
             }
             connection.answered(&asked).await;
-            if self.chance.random_bool(0.04) {
+            if self.chance.random_bool(0.05) {
+                self.pause(REST_TO_THE_END).await;
+            } else if self.chance.random_bool(0.04) {
                 self.pause(100..LONGEST_REST).await;
             } else {
                 self.think().await;
@@ -148,7 +154,11 @@
             id: format!("{:08x}{:08x}", self.world.plan.seed as u32, IDS.fetch_add(1, SeqCst) as u32),
             to,
             class,
-            patience_ms: self.chance.random_range(least..=most),
+            patience_ms: if self.chance.random_bool(0.06) {
+                self.chance.random_range(SHORT_PATIENCE)
+            } else {
+                self.chance.random_range(least..=most)
+            },
             sent: 0,
             fresh,
             end: None,
@@ -288,7 +298,7 @@
     let mut bytes = vec![0x94, 0];
     // A Vec takes every write.
     let _ = encode::write_uint(&mut bytes, message.into());
-    let _ = encode::write_str(&mut bytes, class.name);
+    let _ = encode::write_str(&mut bytes, &class.name);
     let _ = encode::write_array_len(&mut bytes, 2);
     let _ = encode::write_map_len(&mut bytes, fields.len() as u32);
     for part in fields.iter().flat_map(|(name, value)| [name, value]) {
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -16,6 +16,8 @@
 const NOTE_EVERY: Duration = Duration::from_millis(250);
 /// A hung engine or cut link is looked at again this often.
 const LOOK: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted.
+const QUEUE: u32 = 8;
 /// Pages of a result at the most.
 const MOST_PAGES: u32 = 3;
 
@@ -38,6 +40,8 @@
     port: u16,
     alive: bool,
     hangs_until: Instant,
+    /// Accepts nothing before this.
+    accepts_from: Instant,
     /// By gateway: nothing passes before this.
     cut: HashMap<usize, Instant>,
     fails: Misbehaviour,
@@ -63,6 +67,7 @@
             port: 0,
             alive: false,
             hangs_until: Instant::now(),
+            accepts_from: Instant::now(),
             cut: HashMap::new(),
             fails: never,
             spoils: never,
@@ -92,6 +97,23 @@
         locked(&self.state).hangs_until = Instant::now() + time;
     }
 
+    /// Waits until connections are accepted again; says whether it had to.
+    async fn accepts_late(&self) -> bool {
+        let from = locked(&self.state).accepts_from;
+        let late = from > Instant::now();
+        tokio::time::sleep_until(from.into()).await;
+        late
+    }
+
+    pub fn accept_late(&self, time: Duration) {
+        locked(&self.state).accepts_from = Instant::now() + time;
+    }
+
+    /// Listens where another engine did.
+    pub fn take_port(&self, port: u16) {
+        locked(&self.state).port = port;
+    }
+
     pub fn cut(&self, gateways: &[usize], time: Duration) {
         let until = Instant::now() + time;
         locked(&self.state).cut.extend(gateways.iter().map(|gateway| (*gateway, until)));
@@ -121,7 +143,7 @@
     pub async fn start(self: &Arc<Self>, world: &Arc<World>) -> std::io::Result<()> {
         let port = self.port();
         let listener = loop {
-            match TcpListener::bind(("0.0.0.0", port)).await {
+            match listen(port) {
                 Ok(listener) => break listener,
                 Err(_) if port != 0 => tokio::time::sleep(LOOK).await,
                 Err(e) => return Err(e),
@@ -139,6 +161,10 @@
                 tokio::select! {
                     accepted = listener.accept() => {
                         let Ok((stream, _)) = accepted else { continue };
+                        if engine.accepts_late().await {
+                            // It was let in while the queue filled: whatever came on it was never read.
+                            continue;
+                        }
                         let Some(gateway) = stream.local_addr().ok().and_then(gateway_of) else { continue };
                         tokio::spawn(engine.clone().serve(world.clone(), stream, gateway, run));
                     }
@@ -204,6 +230,14 @@
     }
 }
 
+/// A listener with a short queue: connections come up late where they are not accepted at once.
+fn listen(port: u16) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind((std::net::Ipv4Addr::UNSPECIFIED, port).into())?;
+    socket.listen(QUEUE)
+}
+
 /// One connection from a gateway.
 struct Link {
     engine: Arc<Engine>,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::rows;
 use crate::ledger::{At, Books, Dispatch, DispatchEnd, Event, GatewayRun, Request, RequestEnd};
-use crate::plan::{Plan, Semantics, Trouble};
+use crate::plan::{Group, Plan, Semantics, Trouble};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -282,7 +282,11 @@
     }
 
     fn refused(&mut self, request: &Request, dispatches: &[&Dispatch], at: At) {
-        let harmless = self.plan.classes[request.class].semantics == Semantics::Restartable;
+        let harmless = match self.plan.classes[request.class].semantics {
+            Semantics::Restartable => true,
+            Semantics::Keyed => self.plan.group == Group::All,
+            Semantics::RunOnce => false,
+        };
         let before = |dispatch: &&&Dispatch| dispatch.at < at && !proves_unrun(dispatch);
         if let Some(ran) = dispatches.iter().find(before).filter(|_| !harmless) {
             let what = format!("Busy, but it went to engine {} and ended {:?}", ran.engine, ran.end);
@@ -380,7 +384,12 @@
                     let late = (at - ran.at) / 1000;
                     self.found(Rule::KeyedOutsideWindow, at, id, true, format!("{late} ms after the first"));
                 }
-                if self.plan.zone_of(ran.engine) != self.plan.zone_of(dispatch.engine) {
+                let group = |engine: usize| match self.plan.group {
+                    Group::Zone => self.plan.zone_of(engine),
+                    Group::Cell => self.plan.cell_of(engine),
+                    Group::All => 0,
+                };
+                if group(ran.engine) != group(dispatch.engine) {
                     let what = format!("engine {} after engine {}", dispatch.engine, ran.engine);
                     self.found(Rule::KeyedOutsideGroup, at, id, false, what);
                 }
@@ -494,6 +503,8 @@
                 Event::Drained { engine, run } => {
                     drains.published.entry((*engine, *run)).or_insert(*at);
                 }
+                // One that is listed as in service again no longer drains.
+                Event::StartListed { engine, run } => drop(drains.published.remove(&(*engine, *run))),
                 Event::Told { to, engine, run, drained: true } => {
                     drains.told.entry((*to, *engine, *run)).or_insert(*at);
                 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -57,6 +57,9 @@
     /// Keep the ledgers of plays that passed, too.
     #[arg(long)]
     keep: bool,
+    /// Play these plans, as --print-plans prints them, in place of seeds.
+    #[arg(long, num_args = 1..)]
+    plans: Vec<PathBuf>,
     /// Only print what the seeds would play.
     #[arg(long)]
     print_plans: bool,
@@ -88,7 +91,8 @@
 
 impl Arguments {
     fn all_seeds(&self) -> std::ops::Range<u64> {
-        self.first_seed..self.first_seed + self.seeds
+        let seeds = if self.plans.is_empty() { self.seeds } else { 0 };
+        self.first_seed..self.first_seed + seeds
     }
 }
 
@@ -107,7 +111,23 @@
         let arguments = arguments.clone();
         plays.push(tokio::spawn(async move {
             let _place = place;
-            play_one(seed, &arguments).await
+            let plan = Plan::draw(seed, arguments.processes as usize, arguments.seconds);
+            play_one(plan, &arguments).await
+        }));
+    }
+    for path in &arguments.plans {
+        let arguments = arguments.clone();
+        let plan = match read_plan(path) {
+            Ok(plan) => plan,
+            Err(e) => {
+                println!("not played: {}: {e}", path.display());
+                return false;
+            }
+        };
+        let Ok(place) = places.clone().acquire_owned().await else { break };
+        plays.push(tokio::spawn(async move {
+            let _place = place;
+            play_one(plan, &arguments).await
         }));
     }
     let (mut passed, mut failed, mut rules) = (0, 0, BTreeMap::new());
@@ -135,9 +155,13 @@
     failed == 0
 }
 
-/// Plays a seed and prints how it went; returns the rules that were broken.
-async fn play_one(seed: u64, arguments: &Arguments) -> Result<Vec<String>, PlayError> {
-    let plan = Plan::draw(seed, arguments.processes as usize, arguments.seconds);
+fn read_plan(path: &Path) -> std::io::Result<Plan> {
+    Ok(serde_json::from_str(&std::fs::read_to_string(path)?)?)
+}
+
+/// Plays a plan and prints how it went; returns the rules that were broken.
+async fn play_one(plan: Plan, arguments: &Arguments) -> Result<Vec<String>, PlayError> {
+    let seed = plan.seed;
     let folder = arguments.folder.join(format!("seed-{seed}"));
     let port = FIRST_PORT + (seed * 7919 % PORTS) as u16;
     let played = run::play(plan, &folder, &arguments.program, port).await?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -4,26 +4,36 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value as Json, json};
 use std::time::Duration;
 
 /// Traffic begins this long after the programs were started.
 pub const TRAFFIC_FROM: Duration = Duration::from_millis(1500);
-/// How long before the end of the traffic the last trouble begins.
-const LAST_TROUBLE: f64 = 1.0;
+/// How long after the end of the traffic, when all gateways stop, the last trouble may begin (s).
+const LAST_TROUBLE: f64 = 0.4;
+/// Some plays are this much longer, so that connections rest until they are closed.
+const LONGER: f64 = 1.7;
 
 /// What the settings say of repeating a class's jobs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Semantics {
     Restartable,
     Keyed,
     RunOnce,
 }
 
-#[derive(Clone, Debug, Serialize)]
+/// Where a keyed class's jobs may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Group {
+    Zone,
+    Cell,
+    All,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Class {
-    pub name: &'static str,
+    pub name: String,
     pub semantics: Semantics,
     /// How long its clients wait (ms): at least and at most.
     pub patience_ms: [u64; 2],
@@ -34,7 +44,7 @@
 }
 
 /// The figures of the settings that rules are judged by.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Rules {
     pub dedup_window: Duration,
     pub budget_window: Duration,
@@ -48,7 +58,7 @@
 }
 
 /// One disturbance. Indices are of gateways and engines.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Trouble {
     DrainEngines {
         engines: Vec<usize>,
@@ -57,6 +67,15 @@
     ReplaceEngines {
         engines: Vec<usize>,
     },
+    /// Their processes die, and new engines under new names listen at their addresses.
+    TakeAddresses {
+        engines: Vec<usize>,
+    },
+    /// Connections to them come up late, or not at all.
+    SlowAccepts {
+        engines: Vec<usize>,
+        for_ms: u64,
+    },
     /// Their processes die and listen again at the same addresses, cold.
     RestartEngines {
         engines: Vec<usize>,
@@ -135,19 +154,21 @@
     },
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Scheduled {
     pub at_ms: u64,
     pub trouble: Trouble,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Plan {
     pub seed: u64,
     pub gateways: usize,
     pub engines: usize,
     pub cores: f64,
     pub zones: usize,
+    /// The group of keyed classes.
+    pub group: Group,
     pub classes: Vec<Class>,
     pub rules: Rules,
     /// Traffic ends, and all gateways are told to stop, this long after the programs were started.
@@ -161,11 +182,12 @@
 impl Plan {
     pub fn draw(seed: u64, gateways: usize, seconds: f64) -> Plan {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let seconds = if chance.random_bool(0.2) { seconds * LONGER } else { seconds };
         let engines = chance.random_range(6..=14);
         let zones = chance.random_range(1..=2);
-        let mut class = |name, semantics, work_ms, zone| {
+        let mut class = |name: &str, semantics, work_ms, zone| {
             let least = chance.random_range(2..=6) * 150;
-            Class { name, semantics, patience_ms: [least, least * 3], work_ms, zone }
+            Class { name: name.to_string(), semantics, patience_ms: [least, least * 3], work_ms, zone }
         };
         let classes = vec![
             class("lookup", Semantics::Restartable, 20, None),
@@ -190,6 +212,7 @@
             engines,
             cores: [4.0, 8.0, 16.0][chance.random_range(0..3)],
             zones,
+            group: [Group::Zone, Group::Cell, Group::All][chance.random_range(0..3)],
             classes,
             rules,
             traffic_until_ms: (seconds * 1000.0) as u64,
@@ -197,16 +220,17 @@
             clients_per_gateway: chance.random_range(2..=4),
             schedule: vec![],
         };
-        let count = chance.random_range(3..=6);
+        let count = chance.random_range(3..=8);
         // Troubles that overlap: most begin within a second of one another.
-        let last = seconds - LAST_TROUBLE;
+        let last = seconds + LAST_TROUBLE;
         let first = TRAFFIC_FROM.as_secs_f64() + 0.5;
-        let heart = chance.random_range(first..last.max(first + 0.1));
+        // In a third of the plays they gather round the stop of all gateways.
+        let heart = if chance.random_bool(0.33) { seconds } else { chance.random_range(first..last) };
         for _ in 0..count {
             let at = if chance.random_bool(0.7) {
-                (heart + chance.random_range(-0.7..0.7)).clamp(first, last.max(first))
+                (heart + chance.random_range(-0.7..0.7)).clamp(first, last)
             } else {
-                chance.random_range(first..last.max(first + 0.1))
+                chance.random_range(first..last)
             };
             let trouble = plan.draw_trouble(&mut chance);
             plan.schedule.push(Scheduled { at_ms: (at * 1000.0) as u64, trouble });
@@ -219,7 +243,7 @@
         let engines = self.some(chance, self.engines, 0.1, 0.45);
         let gateways = self.some(chance, self.gateways, 0.1, 0.6);
         let for_ms = chance.random_range(3..=30) * 100;
-        match chance.random_range(0..20) {
+        match chance.random_range(0..22) {
             0 => Trouble::DrainEngines { engines },
             1 => Trouble::ReplaceEngines { engines },
             2 => Trouble::RestartEngines { engines, down_ms: chance.random_range(0..=800) },
@@ -241,6 +265,8 @@
             },
             17 => Trouble::FailCalls { gateways, share: chance.random_range(0.01..0.2), for_ms },
             18 => Trouble::ClientsLeave { gateways },
+            19 => Trouble::TakeAddresses { engines },
+            20 => Trouble::SlowAccepts { engines, for_ms },
             _ if chance.random_bool(0.5) => {
                 Trouble::IdleFlood { gateways, connections: chance.random_range(5..=120), for_ms }
             }
@@ -261,6 +287,11 @@
         engine % self.zones
     }
 
+    /// Engines of one zone are spread over two cells.
+    pub fn cell_of(&self, engine: usize) -> usize {
+        engine % (2 * self.zones)
+    }
+
     pub fn zone_name(zone: usize) -> String {
         format!("zone-{zone}")
     }
@@ -293,8 +324,13 @@
             Semantics::Keyed => "idempotency_key",
             Semantics::RunOnce => "non_idempotent",
         };
+        let group = match self.group {
+            Group::Zone => "zone",
+            Group::Cell => "cell",
+            Group::All => "all",
+        };
         let mut settings = json!({"Name": class.name, "Semantics": semantics, "Aim": class.patience_ms[0],
-            "GiveUp": class.patience_ms[1], "Worth": 1.0, "Group": "zone",
+            "GiveUp": class.patience_ms[1], "Worth": 1.0, "Group": group,
             "DedupWindow": self.rules.dedup_window.as_millis() as f64});
         if let Some(zone) = class.zone {
             settings["ConfinedTo"] = json!([zone]);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -61,7 +61,7 @@
 fn timeline(played: &Played, id: &str, folder: &Path) -> String {
     let mut lines: Vec<(At, String)> = vec![];
     for request in played.books.requests.iter().filter(|request| request.id == id) {
-        let class = played.plan.classes[request.class].name;
+        let class = &played.plan.classes[request.class].name;
         let what = format!(
             "client: {class}, {} ms, to {:?}, fresh {}",
             request.patience_ms, request.to, request.fresh
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -36,6 +36,10 @@
         Trouble::CutLinks { gateways, engines, for_ms } => {
             each(world, &engines, |engine| engine.cut(&gateways, ms(for_ms)));
         }
+        Trouble::TakeAddresses { engines } => take_addresses(world, &engines).await,
+        Trouble::SlowAccepts { engines, for_ms } => {
+            each(world, &engines, |engine| engine.accept_late(ms(for_ms)));
+        }
         Trouble::ResetConnections { engines } => each(world, &engines, |engine| engine.reset()),
         Trouble::SpoilAnswers { engines, share, for_ms } => {
             each(world, &engines, |engine| engine.spoil(share, ms(for_ms)));
@@ -129,6 +133,33 @@
     world.bus.publish(world, ended);
 }
 
+/// Engines die, and new ones under new names are listed at their addresses before the old ones are told to have gone.
+async fn take_addresses(world: &Arc<World>, engines: &[usize]) {
+    let old: Vec<_> = engines.iter().filter_map(|engine| world.engine(*engine)).collect();
+    let mut changes = vec![];
+    for old in &old {
+        old.die(world);
+        let engine = world.add_engine();
+        engine.take_port(old.port());
+        if engine.start(world).await.is_ok() {
+            changes.push(Change {
+                engine: engine.index,
+                run: engine.run(),
+                lifecycle: Lifecycle::InService,
+                started_at_ms: world.stamp_ms(),
+            });
+        }
+    }
+    world.bus.publish(world, changes);
+    let gone = old.iter().map(|old| Change {
+        engine: old.index,
+        run: old.run(),
+        lifecycle: Lifecycle::Terminated,
+        started_at_ms: 0,
+    });
+    world.bus.publish(world, gone.collect());
+}
+
 async fn restart_engines(world: &Arc<World>, engines: &[usize], down: Duration) {
     let engines: Vec<_> = engines.iter().filter_map(|engine| world.engine(*engine)).collect();
     engines.iter().for_each(|engine| engine.die(world));
