Starts go on while the system refuses threads, sockets or the address for a moment

Cause: one EAGAIN of pthread_create, or ENOBUFS and the like of socket(), ended the start with exit code 1. Ruled out: the order of the start (signals first). The count of unanswered requests no longer counts those that the last look found withdrawn.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -5,6 +5,7 @@
 mod memory;
 mod module;
 mod service;
+mod startup;
 mod wire;
 mod workers;
 
@@ -15,6 +16,7 @@
 use service::{bus, clients, clock, reload, shutdown};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use startup::patiently;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -43,8 +45,8 @@
         std::process::abort();
     }));
     // Signals are waited for before anything starts: none may end the program unheard.
-    let signals =
-        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot wait for signals: {e}"));
+    let signals = patiently(|| Signals::new([SIGTERM, SIGINT, SIGHUP]))
+        .map_err(|e| format!("cannot wait for signals: {e}"));
     match signals.and_then(|signals| run(signals, Config::read(environment)?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(trouble) => {
@@ -73,7 +75,7 @@
     .map_err(cannot("start the module's thread"))?;
     let health = Arc::new(shutdown::Health::default());
     let shared = clients::Shared::new(module.clone(), health.clone(), types, rules, &shares);
-    let listener = TcpListener::bind(config.listen)
+    let listener = patiently(|| TcpListener::bind(config.listen))
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
     let listens = listener.local_addr().map_err(cannot("listen"))?;
     let clients = clients::Acceptor::new(shared, listener).map_err(cannot("listen"))?;
@@ -82,13 +84,13 @@
         clients.run();
         let _ = left.send(());
     };
-    thread("clients", STACK, serve).map_err(cannot("start a thread"))?;
+    startup::thread("clients", STACK, serve).map_err(cannot("start a thread"))?;
     let bus = Arc::new(bus::Bus::new(config.bus, shares.list_line));
     let (follower, teller, offset, seed) = (bus.clone(), module.clone(), config.offset, config.seed);
-    thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
+    startup::thread("event bus", STACK, move || follower.follow(&teller, offset, seed))
         .map_err(cannot("start a thread"))?;
     let listen = move || signals.forever().take_while(|signal| heard.send(*signal).is_ok()).for_each(drop);
-    thread("signals", STACK, listen).map_err(cannot("start a thread"))?;
+    startup::thread("signals", STACK, listen).map_err(cannot("start a thread"))?;
     tracing::info!("{} listens on {listens}", config.name);
     let longest_wait = config.longest_wait();
     let mut reload = reload::Reload::new(config, bus);
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -38,7 +38,7 @@
         let context = OwnerContext { terms, sockets, readers: Readers::start()?, now, orders };
         let all = All { owners: BTreeMap::new(), dues: BTreeSet::new(), due: BTreeMap::new(), context };
         let told = owners.clone();
-        crate::thread("engines", crate::STACK, move || all.run(&told, &inbox))?;
+        crate::startup::thread("engines", crate::STACK, move || all.run(&told, &inbox))?;
         Ok(owners)
     }
 
--- a/crates/server/src/memory/readers.rs
+++ b/crates/server/src/memory/readers.rs
@@ -1,6 +1,7 @@
 //! Reads all connections to engines in one thread. A thread for each would be woken each time that the program is
 //! stopped and goes on again, as it is many times a second on part of a core.
 
+use crate::startup::{self, patiently};
 use crate::wire::engine::{self as wire, Word};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use mio::unix::SourceFd;
@@ -93,10 +94,10 @@
 
 impl Readers {
     pub fn start() -> std::io::Result<Arc<Readers>> {
-        let poll = Poll::new()?;
+        let poll = patiently(Poll::new)?;
         let (new, added) = bounded(NEW);
-        let waker = Waker::new(poll.registry(), WAKE)?;
-        crate::thread("engine words", crate::STACK, move || listen(poll, &added))?;
+        let waker = patiently(|| Waker::new(poll.registry(), WAKE))?;
+        startup::thread("engine words", crate::STACK, move || listen(poll, &added))?;
         Ok(Arc::new(Readers { new, waker }))
     }
 
--- a/crates/server/src/memory/responder.rs
+++ b/crates/server/src/memory/responder.rs
@@ -63,8 +63,10 @@
 impl StillWanted for Responder {
     /// Also looks at what the client has sent and nobody has read yet.
     fn still_wanted(&self) -> bool {
-        if !self.wanted.is_cancelled() && self.client.has_withdrawn(self.message) {
-            self.wanted.cancel();
+        let owed = self.job.get().is_some_and(|job| self.client.waits_for(self.message, *job));
+        if owed && self.client.has_withdrawn(self.message) {
+            tracing::debug!("job {}: withdrawn by what is not read yet", self.id);
+            self.client.forget(self.message);
         }
         !self.wanted.is_cancelled()
     }
--- a/crates/server/src/module.rs
+++ b/crates/server/src/module.rs
@@ -10,6 +10,7 @@
 use crate::memory::responder::Responder;
 use crate::service::clock;
 use crate::service::start_clock::StartClock;
+use crate::startup;
 use crate::wire::bus::{Event, UnixTime};
 use crate::wire::client::Reply;
 use crate::workers::Workers;
@@ -106,7 +107,7 @@
         let (left, next, open) = (Mutex::default(), Mutex::default(), AtomicUsize::new(0));
         let handle = Arc::new(Module { calls, urgent, left, next, open });
         let own = handle.clone();
-        crate::thread("module", MODULE_STACK, move || {
+        startup::thread("module", MODULE_STACK, move || {
             let names = |list: &str| -> Vec<String> {
                 let named = (0..).map(|i| settings.text(&format!("{list}.{i}")).to_string());
                 named.take_while(|name| !name.is_empty()).collect()
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -10,6 +10,7 @@
 use crate::service::arrivals::{Arrivals, Wait};
 use crate::service::clock;
 use crate::service::shutdown::{Health, Steps};
+use crate::startup::patiently;
 use crate::wire::client::{self as wire, Ask, Frame, Message, Reply};
 use crate::wire::sql;
 use mio::unix::SourceFd;
@@ -144,7 +145,7 @@
 
 impl Acceptor {
     pub fn new(shared: Shared, listener: TcpListener) -> std::io::Result<Acceptor> {
-        let poll = Poll::new()?;
+        let poll = patiently(Poll::new)?;
         listener.set_nonblocking(true)?;
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER, Interest::READABLE)?;
         Ok(Acceptor {
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -12,6 +12,9 @@
     pub mod config;
 }
 #[allow(dead_code)]
+#[path = "../src/startup.rs"]
+mod startup;
+#[allow(dead_code)]
 #[path = "../src/wire/mod.rs"]
 mod wire;
 
