A request on a connection just accepted counts from when that waited to be accepted

Cause: the pass that finds its bytes is not the one that found the connection. Ruled out: the frozen wait itself (its earliest time was right). Test: the_time_that_a_request_waited_to_be_read_counts asks on a new connection, too; it failed before.

--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -127,6 +127,8 @@
     held: Lease,
     /// Since when a message is due: the first since it was accepted, one that has begun since its first byte.
     owes: Option<Instant>,
+    /// What is first read on it came after this, as it may have waited to be accepted.
+    came: Option<Moment>,
     /// No whole message has come on it: its first request may be on its way.
     fresh: bool,
     useless: u32,
@@ -284,6 +286,7 @@
             bytes: Vec::new(),
             held,
             owes,
+            came: Some(self.arrived),
             fresh: true,
             useless: 0,
             pauses_until: None,
@@ -451,8 +454,12 @@
     fn read(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
         let client = self.client.clone();
         let mut position = client.reading();
+        let arrived = self.came.map_or(arrived, |came| came.min(arrived));
         let more = self.read_and_handle(shared, piece, arrived);
         position.midway = !self.bytes.is_empty();
+        if !self.bytes.is_empty() || !self.fresh {
+            self.came = None;
+        }
         more
     }
 
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -16,6 +16,8 @@
 const NOTE_EVERY: Duration = Duration::from_millis(250);
 /// A hung engine or cut link is looked at again this often.
 const LOOK: Duration = Duration::from_millis(10);
+/// Within this time all that had waited in the queue are accepted.
+const QUEUE_EMPTIES: Duration = Duration::from_millis(100);
 /// Connections that wait to be accepted.
 const QUEUE: u32 = 8;
 /// Pages of a result at the most.
@@ -40,8 +42,8 @@
     port: u16,
     alive: bool,
     hangs_until: Instant,
-    /// Accepts nothing before this.
-    accepts_from: Instant,
+    /// Accepts nothing before this, if it ever was late.
+    accepts_from: Option<Instant>,
     /// By gateway: nothing passes before this.
     cut: HashMap<usize, Instant>,
     fails: Misbehaviour,
@@ -67,7 +69,7 @@
             port: 0,
             alive: false,
             hangs_until: Instant::now(),
-            accepts_from: Instant::now(),
+            accepts_from: None,
             cut: HashMap::new(),
             fails: never,
             spoils: never,
@@ -97,16 +99,15 @@
         locked(&self.state).hangs_until = Instant::now() + time;
     }
 
-    /// Waits until connections are accepted again; says whether it had to.
+    /// Waits until connections are accepted again; says whether this one may have waited in the queue meanwhile.
     async fn accepts_late(&self) -> bool {
-        let from = locked(&self.state).accepts_from;
-        let late = from > Instant::now();
+        let Some(from) = locked(&self.state).accepts_from else { return false };
         tokio::time::sleep_until(from.into()).await;
-        late
+        from.elapsed() < QUEUE_EMPTIES
     }
 
     pub fn accept_late(&self, time: Duration) {
-        locked(&self.state).accepts_from = Instant::now() + time;
+        locked(&self.state).accepts_from = Some(Instant::now() + time);
     }
 
     /// Listens where another engine did.
