--- a/crates/server/src/memory/invariants.rs
+++ b/crates/server/src/memory/invariants.rs
@@ -38,10 +38,10 @@
 
 static VIOLATIONS: [AtomicU64; Invariant::ALL.len()] = [const { AtomicU64::new(0) }; Invariant::ALL.len()];
 
-/// Counts a violation and says whose job it concerns.
-pub fn violated(invariant: Invariant, id: &str) {
+/// Counts a violation and says whose job it concerns, or what was under way.
+pub fn violated(invariant: Invariant, by: &str) {
     VIOLATIONS[invariant as usize].fetch_add(1, Relaxed);
-    tracing::error!("invariant {invariant:?} violated by job {id}");
+    tracing::error!("invariant {invariant:?} violated by {by}");
 }
 
 pub fn violations() -> u64 {
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -5,6 +5,7 @@
 use crate::memory::clients::{Client, Names};
 use crate::memory::counts;
 use crate::memory::dispatch_ledger::{DispatchLedger, RepeatRules};
+use crate::memory::invariants::{self, Invariant};
 use crate::memory::responder::Responder;
 use crate::module::{BACK_IN, Module};
 use crate::service::arrivals::{Arrivals, Wait};
@@ -355,9 +356,11 @@
     /// Closes a connection that is of no use, after a last look at what has come since that was found.
     fn retire(&mut self, number: usize, useless: impl Fn(&Connection) -> bool, why: &str) {
         self.read(number);
-        if self.all.get(&number).is_some_and(useless) {
-            self.close(number, why);
+        let Some(connection) = self.all.get(&number).filter(|connection| useless(connection)) else { return };
+        if !connection.client.rests() {
+            invariants::violated(Invariant::ClosedAtRest, why);
         }
+        self.close(number, why);
     }
 
     /// Goes on with a close under way.
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -1,5 +1,6 @@
 //! Engines: they read dispatches, keep the ledger of them, work for a while and answer, unless they are in trouble.
 
+use crate::answers::rows;
 use crate::ledger::{Dispatch, DispatchEnd, Event};
 use crate::world::{World, gateway_of, locked};
 use rand::Rng;
@@ -20,8 +21,6 @@
 const QUEUE_EMPTIES: Duration = Duration::from_millis(100);
 /// Connections that wait to be accepted.
 const QUEUE: u32 = 8;
-/// Pages of a result at the most.
-const MOST_PAGES: u32 = 3;
 
 pub struct Engine {
     pub index: usize,
@@ -56,12 +55,6 @@
     }
 }
 
-/// The rows that an engine's run answers a job with.
-pub fn rows(id: &str, engine: usize, run: u32) -> Vec<String> {
-    let pages = 1 + id.bytes().map(u32::from).sum::<u32>() % MOST_PAGES;
-    (0..pages).map(|page| format!("{id}-{engine}-{run}\t{page}\tx\n")).collect()
-}
-
 impl Engine {
     pub fn new(index: usize, zone: usize) -> Engine {
         let never = Misbehaviour { share: 0.0, until: Instant::now() };
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,6 +1,6 @@
 //! Judges a play by the seven rules and the terms, from the ledgers alone.
 
-use crate::engine::rows;
+use crate::answers::rows;
 use crate::ledger::{At, Books, Dispatch, DispatchEnd, Event, GatewayRun, Request, RequestEnd};
 use crate::plan::{Group, Plan, Semantics, Trouble};
 use serde::Serialize;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! Soak test of pebblevane: dozens of real processes on loopback with engines, an event bus and clients of this test's
 //! own, under troubles that overlap, judged from the ledgers of all who were there.
 
+mod answers;
 mod bus;
 mod client;
 mod engine;
--- /dev/null
+++ b/crates/soak/tests/judge.rs
@@ -0,0 +1,257 @@
+//! Each rule of the judge, broken once by a ledger made for it: a check that can't fail would be none.
+
+#[allow(dead_code)] // the program uses what these tests don't
+#[path = "../src/answers.rs"]
+mod answers;
+#[allow(dead_code)]
+#[path = "../src/judge.rs"]
+mod judge;
+#[allow(dead_code)]
+#[path = "../src/ledger.rs"]
+mod ledger;
+#[allow(dead_code)]
+#[path = "../src/plan.rs"]
+mod plan;
+
+use answers::rows;
+use expect_test::expect;
+use judge::judge;
+use ledger::{At, Books, Dispatch, DispatchEnd, Event, GatewayRun, Request, RequestEnd};
+use plan::{Group, Plan, Semantics, Trouble};
+
+const GATEWAY: GatewayRun = GatewayRun { gateway: 0, run: 1 };
+const MS: At = 1000;
+/// Classes as every plan has them.
+const LOOKUP: usize = 0;
+const LOAD: usize = 1;
+const POST: usize = 2;
+const LOCAL: usize = 3;
+
+fn plan() -> Plan {
+    let mut plan = Plan::draw(1, 2, 5.0);
+    (plan.zones, plan.group, plan.engines, plan.cores) = (2, Group::Zone, 4, 1.0);
+    plan.classes[LOCAL].zone = Some(1);
+    plan.schedule.clear();
+    plan
+}
+
+/// A request sent at second 1 that waits 1 s.
+fn request(class: usize, end: Option<(At, RequestEnd)>) -> Request {
+    let (id, to) = (format!("{class:016x}"), GATEWAY);
+    Request { id, to, class, patience_ms: 1000, sent: 1_000 * MS, fresh: true, end, further_answers: 0 }
+}
+
+fn dispatch(class: usize, engine: usize, at_ms: At, end: Option<(At, DispatchEnd)>) -> Dispatch {
+    let end = end.map(|(at, end)| (at * MS, end));
+    let class_name = ["lookup", "load", "post", "local"][class].to_string();
+    let (id, from) = (format!("{class:016x}"), GATEWAY);
+    Dispatch { id, class: class_name, from, engine, engine_run: 0, at: at_ms * MS, limit_ms: 10, end }
+}
+
+fn done(class: usize, engine: usize, at_ms: At) -> Option<(At, RequestEnd)> {
+    let rows = rows(&format!("{class:016x}"), engine, 0).concat();
+    Some((at_ms * MS, RequestEnd::Done { rows }))
+}
+
+fn at(ms: At, end: RequestEnd) -> Option<(At, RequestEnd)> {
+    Some((ms * MS, end))
+}
+
+#[derive(Default)]
+struct Play {
+    plan: Option<Plan>,
+    requests: Vec<Request>,
+    dispatches: Vec<Dispatch>,
+    events: Vec<(At, Event)>,
+}
+
+fn rules(play: Play) -> String {
+    let books = Books { requests: play.requests, dispatches: play.dispatches, events: play.events };
+    let verdict = judge(&play.plan.unwrap_or_else(plan), &books);
+    let found = verdict.violations.iter();
+    let found =
+        found.map(|violation| format!("{:?}{}", violation.rule, if violation.unsure { "?" } else { "" }));
+    found.collect::<Vec<String>>().join(" ")
+}
+
+fn play(request: Request, dispatches: Vec<Dispatch>) -> Play {
+    Play { requests: vec![request], dispatches, ..Play::default() }
+}
+
+#[test]
+fn each_rule_is_seen_to_break() {
+    use DispatchEnd::{Disconnected, Done, Fault, Shed};
+    let busy = || at(1500, RequestEnd::Busy);
+    let failed = || at(1500, RequestEnd::Failed { why: String::new() });
+    let one = |class, engine| vec![dispatch(class, engine, 1010, Some((1100, Done)))];
+    let again = |class, second, end| {
+        vec![dispatch(class, 0, 1010, Some((1100, end))), dispatch(class, second, 1200, Some((1300, Done)))]
+    };
+    let mut twice = request(LOOKUP, done(LOOKUP, 0, 1100));
+    twice.further_answers = 1;
+    let mut used = request(LOOKUP, at(1040, RequestEnd::Closed { reset: false }));
+    used.fresh = false;
+    let mut told = one(LOOKUP, 0);
+    told[0].limit_ms = 1500;
+    let mut lagged = play(request(LOOKUP, done(LOOKUP, 0, 2700)), one(LOOKUP, 0));
+    lagged.events.push((2_500 * MS, Event::Lagged { by_us: 200_000 }));
+    let plays = [
+        ("in order", play(request(LOOKUP, done(LOOKUP, 0, 1100)), one(LOOKUP, 0))),
+        ("no answer", play(request(LOOKUP, None), vec![])),
+        ("late answer", play(request(LOOKUP, done(LOOKUP, 0, 2700)), one(LOOKUP, 0))),
+        ("the same on a machine that lagged", lagged),
+        (
+            "closed on a fresh connection",
+            play(request(LOOKUP, at(1040, RequestEnd::Closed { reset: false })), vec![]),
+        ),
+        ("crossing on a used one", play(used, vec![])),
+        ("two answers", play(twice, one(LOOKUP, 0))),
+        ("rows of another engine", play(request(LOOKUP, done(LOOKUP, 1, 1100)), one(LOOKUP, 0))),
+        (
+            "sent after its client left",
+            play(request(LOOKUP, at(1000, RequestEnd::Left)), vec![dispatch(LOOKUP, 0, 1200, None)]),
+        ),
+        ("sent after its answer", play(request(LOOKUP, busy()), vec![dispatch(LOOKUP, 0, 1700, None)])),
+        (
+            "sent after its time",
+            play(request(LOOKUP, at(2300, RequestEnd::Busy)), vec![dispatch(LOOKUP, 0, 2200, None)]),
+        ),
+        ("told more time than is left", play(request(LOOKUP, done(LOOKUP, 0, 1100)), told)),
+        ("nobody asked", Play { dispatches: one(LOOKUP, 0), ..Play::default() }),
+        ("run-once after a fault", play(request(LOAD, done(LOAD, 1, 1300)), again(LOAD, 1, Fault))),
+        ("run-once after a refusal", play(request(LOAD, done(LOAD, 1, 1300)), again(LOAD, 1, Shed))),
+        (
+            "run-once refused after a fault",
+            play(request(LOAD, busy()), vec![dispatch(LOAD, 0, 1010, Some((1100, Fault)))]),
+        ),
+        (
+            "run-once failed after a fault",
+            play(request(LOAD, failed()), vec![dispatch(LOAD, 0, 1010, Some((1100, Fault)))]),
+        ),
+        ("keyed in its zone", play(request(POST, done(POST, 2, 1300)), again(POST, 2, Disconnected))),
+        ("keyed in another zone", play(request(POST, done(POST, 1, 1300)), again(POST, 1, Disconnected))),
+        (
+            "two out",
+            play(request(LOOKUP, done(LOOKUP, 1, 1300)), again(LOOKUP, 1, Done))
+                .with(|play| play.dispatches[0].end = None),
+        ),
+        ("out of place", play(request(LOCAL, done(LOCAL, 0, 1100)), one(LOCAL, 0))),
+    ];
+    let trace: String = plays.into_iter().map(|(what, play)| format!("{what}: {}\n", rules(play))).collect();
+    expect![[r#"
+        in order: 
+        no answer: Lost
+        late answer: Lost
+        the same on a machine that lagged: Lost?
+        closed on a fresh connection: Lost
+        crossing on a used one: 
+        two answers: AnsweredTwice
+        rows of another engine: WrongRows
+        sent after its client left: SentAfterClientLeft
+        sent after its answer: SentAfterAnswer
+        sent after its time: SentAfterDeadline
+        told more time than is left: DeadlineTooLong
+        nobody asked: UnknownRequest
+        run-once after a fault: RunOnceAgain
+        run-once after a refusal: 
+        run-once refused after a fault: RefusedAfterRun
+        run-once failed after a fault: 
+        keyed in its zone: 
+        keyed in another zone: KeyedOutsideGroup
+        two out: TwoOut
+        out of place: Placement
+    "#]]
+    .assert_eq(&trace);
+}
+
+impl Play {
+    fn with(mut self, change: impl FnOnce(&mut Play)) -> Play {
+        change(&mut self);
+        self
+    }
+}
+
+#[test]
+fn windows_and_processes_are_judged() {
+    let mut trace = String::new();
+    // A keyed repeat after its window, within its client's wait.
+    let mut keyed = plan();
+    keyed.rules.dedup_window = std::time::Duration::from_millis(200);
+    let late = vec![dispatch(POST, 0, 1010, Some((1100, DispatchEnd::Fault))), dispatch(POST, 2, 1500, None)];
+    let end = done(POST, 2, 1600);
+    trace +=
+        &format!("keyed late: {}\n", rules(Play { plan: Some(keyed), ..play(request(POST, end), late) }));
+    // Ten jobs, each sent twice at the same time, where two and a tenth of the jobs are allowed.
+    let mut budget = plan();
+    (budget.rules.spare_attempts, budget.rules.extra_ratio) = (2.0, 0.1);
+    let mut all = Play { plan: Some(budget), ..Play::default() };
+    for number in 0..10 {
+        let id = format!("{:016x}", 100 + number);
+        let rows = rows(&id, 0, 0).concat();
+        let end = at(1400, RequestEnd::Done { rows });
+        all.requests.push(Request { id: id.clone(), ..request(LOOKUP, end) });
+        for (time, end) in [(1010, DispatchEnd::Shed), (1300, DispatchEnd::Done)] {
+            let one = dispatch(LOOKUP, 0, time, Some((time + 10, end)));
+            all.dispatches.push(Dispatch { id: id.clone(), ..one });
+        }
+    }
+    trace += &format!("budget: {}\n", rules(all).split(' ').next().unwrap());
+    // A cold engine, told to its gateway, that gets far more than it bears; and a drained one.
+    for drained in [false, true] {
+        let mut cold = Play::default();
+        cold.events.push((900 * MS, Event::EngineStarted { engine: 0, run: 1 }));
+        cold.events.push((900 * MS, Event::Told { to: GATEWAY, engine: 0, run: 1, drained }));
+        if drained {
+            cold.events.push((800 * MS, Event::Drained { engine: 0, run: 1 }));
+        }
+        for number in 0..if drained { 1 } else { 400 } {
+            let (id, when) = (format!("{:016x}", 100 + number), if drained { 2500 } else { 1010 });
+            let mut request = Request { id: id.clone(), ..request(LOOKUP, at(when + 20, RequestEnd::Left)) };
+            request.sent = (when - 10) * MS;
+            cold.requests.push(request);
+            let one = dispatch(LOOKUP, 0, when, Some((when + 10, DispatchEnd::Stopped)));
+            cold.dispatches.push(Dispatch { id, engine_run: 1, ..one });
+        }
+        trace += &format!("{}: {}\n", if drained { "drained" } else { "cold" }, rules(cold));
+    }
+    let ended = |status: &str, clean| Event::GatewayEnded { run: GATEWAY, status: status.to_string(), clean };
+    let started = || (0, Event::GatewayStarted { run: GATEWAY });
+    let stopping = || (1, Event::GatewayStopping { run: GATEWAY });
+    let line = "ERROR invariant Answered violated".to_string();
+    for (what, events) in [
+        ("crash", vec![started(), (5, ended("signal: 6 (SIGABRT)", false))]),
+        ("stopped", vec![started(), stopping(), (5, ended("exit status: 0", true))]),
+        ("had to be killed", vec![started(), stopping(), (5, ended("signal: 9 (SIGKILL)", false))]),
+        ("never ready", vec![started()]),
+        (
+            "complains",
+            vec![
+                started(),
+                (4, Event::GatewayReady { run: GATEWAY }),
+                (5, Event::Complained { run: GATEWAY, line }),
+            ],
+        ),
+    ] {
+        trace += &format!("{what}: {}\n", rules(Play { events, ..Play::default() }));
+    }
+    // A flood of idle connections lets new ones be shut unread.
+    let mut flooded = plan();
+    let trouble = Trouble::IdleFlood { gateways: vec![0], connections: 100, for_ms: 500 };
+    flooded.schedule.push(plan::Scheduled { at_ms: 900, trouble });
+    let shut = request(LOOKUP, at(1040, RequestEnd::Closed { reset: false }));
+    trace += &format!("shut in a flood: {}\n", rules(Play { plan: Some(flooded), ..play(shut, vec![]) }));
+    assert_eq!(plan().classes[LOAD].semantics, Semantics::RunOnce);
+    expect![[r#"
+        keyed late: KeyedOutsideWindow
+        budget: Budget
+        cold: ColdEngine
+        drained: Drain
+        crash: Crash FailedStart
+        stopped: 
+        had to be killed: DidNotStop
+        never ready: FailedStart
+        complains: Complaint
+        shut in a flood: 
+    "#]]
+    .assert_eq(&trace);
+}
