A rest before a connection's first request does not count

Only what the very next wait finds at once may have come before now. Test: a_rest_before_a_request_does_not_count (Busy before).

--- a/crates/server/src/service/arrivals.rs
+++ b/crates/server/src/service/arrivals.rs
@@ -23,6 +23,13 @@
     pub interrupted: bool,
 }
 
+impl Wait {
+    /// What it was for was there before it.
+    pub fn found_at_once(&self) -> bool {
+        self.ended - self.began < AT_ONCE
+    }
+}
+
 impl Arrivals {
     pub fn new(now: Moment) -> Arrivals {
         Arrivals { seen_until: now }
@@ -33,7 +40,7 @@
         let took = wait.ended - wait.began;
         let held_up = took > wait.longest + HELD_UP;
         let earliest = match () {
-            _ if took < AT_ONCE => self.seen_until,
+            _ if wait.found_at_once() => self.seen_until,
             _ if held_up => wait.began,
             _ => wait.ended,
         };
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/clients.rs
@@ -112,6 +112,10 @@
     arrivals: Arrivals,
     /// When what is read now came, or before that it can't have come.
     arrived: Moment,
+    /// The last wait ended at once.
+    at_once: bool,
+    /// Waits so far.
+    pass: u64,
 }
 
 /// How long a connection may be silent: before its first message, within a message, and between messages.
@@ -128,8 +132,8 @@
     held: Lease,
     /// Since when a message is due: the first since it was accepted, one that has begun since its first byte.
     owes: Option<Instant>,
-    /// What is first read on it came after this, as it may have waited to be accepted.
-    came: Option<Moment>,
+    /// The pass that accepted it, and since when it may have waited for that.
+    accepted: (u64, Moment),
     /// No whole message has come on it: its first request may be on its way.
     fresh: bool,
     useless: u32,
@@ -162,6 +166,8 @@
             piece: vec![0; PIECE],
             arrivals: Arrivals::new(clock::now()),
             arrived: clock::now(),
+            at_once: false,
+            pass: 0,
         })
     }
 
@@ -180,7 +186,9 @@
             // An interrupted wait is one without events.
             let interrupted = self.poll.poll(&mut events, Some(wait)).is_err();
             let (ended, longest) = (clock::now(), Span(wait.as_micros() as i64));
-            self.arrived = self.arrivals.earliest(&Wait { began, ended, longest, interrupted });
+            let wait = Wait { began, ended, longest, interrupted };
+            (self.arrived, self.at_once) = (self.arrivals.earliest(&wait), wait.found_at_once());
+            self.pass += 1;
             let (mut ready, mut left, mut comes) = (Vec::new(), Vec::new(), self.crowded);
             for event in &events {
                 match event.token() {
@@ -287,7 +295,7 @@
             bytes: Vec::new(),
             held,
             owes,
-            came: Some(self.arrived),
+            accepted: (self.pass, self.arrived),
             fresh: true,
             useless: 0,
             pauses_until: None,
@@ -303,7 +311,10 @@
             return;
         };
         connection.client.flush();
-        match connection.read(&self.shared, &mut self.piece, self.arrived) {
+        // What the first wait after it was accepted finds at once may have come before it was accepted.
+        let (pass, waits) = connection.accepted;
+        let arrived = if pass + 1 == self.pass && self.at_once { waits } else { self.arrived };
+        match connection.read(&self.shared, &mut self.piece, arrived) {
             Ok(false) => self.paused.extend(connection.pauses_until.map(|_| number)),
             Ok(true) => {
                 // Whatever more is there is told by a new event.
@@ -457,12 +468,8 @@
     fn read(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
         let client = self.client.clone();
         let mut position = client.reading();
-        let arrived = self.came.map_or(arrived, |came| came.min(arrived));
         let more = self.read_and_handle(shared, piece, arrived);
         position.midway = !self.bytes.is_empty();
-        if !self.bytes.is_empty() || !self.fresh {
-            self.came = None;
-        }
         more
     }
 
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -475,3 +475,21 @@
     let trace = format!("{} {} {told} what is left; {answers}", seen.word(0), seen.word(1));
     expect!["REQ 0000000000000003 within what is left; 2: Busy w=1000; 4: Busy w=1000"].assert_eq(&trace);
 }
+
+/// A request counts from when it came, however long its connection had rested before: used or not.
+#[test]
+fn a_rest_before_a_request_does_not_count() {
+    let (engines, _bus, program, mut client) = one_engine();
+    let mut fresh = program.client();
+    client.is_well(1);
+    let mut trace = vec![client.next()];
+    std::thread::sleep(Duration::from_millis(900));
+    for (message, client) in (2..).zip([&mut client, &mut fresh]) {
+        client.ask(message, "lookup", 400);
+        if let Some(seen) = engines.soon() {
+            seen.says("HIT", "-", "");
+        }
+        trace.push(client.next());
+    }
+    expect!["1: well true|2: done |3: done "].assert_eq(&trace.join("|"));
+}
