--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -13,7 +13,7 @@
 use memory::budget::{Budget, Shares};
 use memory::owners::Owners;
 use service::config::Config;
-use service::{bus, clients, clock, reload, shutdown};
+use service::{acceptor, bus, client_connection, clock, reload, shutdown};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use startup::patiently;
@@ -74,11 +74,11 @@
     )
     .map_err(cannot("start the module's thread"))?;
     let health = Arc::new(shutdown::Health::default());
-    let shared = clients::Shared::new(module.clone(), health.clone(), types, rules, &shares);
+    let shared = client_connection::Shared::new(module.clone(), health.clone(), types, rules, &shares);
     let listener = patiently(|| TcpListener::bind(config.listen))
         .map_err(|e| format!("field listen: cannot listen on {}: {e}", config.listen))?;
     let listens = listener.local_addr().map_err(cannot("listen"))?;
-    let clients = clients::Acceptor::new(shared, listener).map_err(cannot("listen"))?;
+    let clients = acceptor::Acceptor::new(shared, listener).map_err(cannot("listen"))?;
     let ((left, all_left), (heard, signal)) = (bounded(1), bounded(SIGNALS));
     let serve = move || {
         clients.run();
--- /dev/null
+++ b/crates/server/src/memory/owner.rs
@@ -0,0 +1,622 @@
+//! Engines and their connections. An engine's owner has all connections to it, knows what is out on each and
+//! writes to them, without ever waiting; `owners.rs` has the one thread of all owners, `readers.rs` reads the
+//! connections. Connecting has a thread of its own.
+//!
+//! A dispatch has a connection to itself as long as the descriptors allow it, for whatever spoils a connection
+//! ends all that is out on it.
+
+use super::budget::{Budget, Lease};
+use super::counts;
+use super::engine_connection::{Connection, SPENT};
+use super::engines::{DROPPED, DispatchEvent, Gate, News, Order, Probed, QUEUED, Request, SENT, Terms};
+use super::readers::{ConnectionEvent, ReadHalf, Readers};
+use crate::wire::engine::{self as wire, Word};
+use crossbeam_channel::Sender;
+use pebblevane::interface::*;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::time::{Duration, Instant};
+
+const FAILED: u32 = 4; // connections that may fail a dispatch before a byte of it has left
+const AT_ONCE: Duration = Duration::from_millis(20); // before most answers: a spoilt one is no sign of a stale connection
+const FRESH: Duration = Duration::from_millis(20); // a rest of so long harms no connection
+const STALE: Duration = Duration::from_secs(10); // without a stale connection, longer rests are tried again
+const TELL: Duration = Duration::from_secs(5); // pace of log lines on one engine's connections
+
+/// What all owners share.
+pub struct OwnerContext {
+    pub terms: Terms,
+    pub sockets: Arc<Budget>,
+    pub readers: Arc<Readers>,
+    pub now: fn() -> Moment,
+    pub orders: Sender<(u64, Order)>,
+}
+
+pub struct Owner {
+    key: u64,
+    name: String,
+    address: SocketAddr,
+    open: Arc<AtomicBool>,
+    outs: HashMap<u64, Entry>,
+    /// What waits for a connection, in turn.
+    waiting: VecDeque<u64>,
+    dialing: usize,
+    /// What ended with its connection, until it shows whether the engine takes a new one.
+    doubtful: Vec<Sender<DispatchEvent>>,
+    connections: BTreeMap<u64, Connection>,
+    opened: u64,
+    gone: bool,
+    /// A connection that has rested for longer is not used again: it may have ended unseen on the way.
+    fresh_for: Duration,
+    /// When that was last found too long, or lengthened.
+    stale_at: Instant,
+    /// When its last trouble was logged, and how many were not since.
+    told: Option<Instant>,
+    untold: u32,
+}
+
+/// A dispatch or probe that is out or waits for a connection.
+struct Entry {
+    what: What,
+    id: Box<str>,
+    connection: Option<u64>,
+    /// The engine's good end has come; only pages are out.
+    headed: bool,
+    /// It has waited long enough to share a connection.
+    shares: bool,
+    /// Connections that have ended before a byte of it had left.
+    failed: u32,
+    /// When it was last written to a connection.
+    sent: Instant,
+    due: Instant,
+}
+
+enum What {
+    Dispatch { request: Request, gate: Arc<Gate>, words: Sender<DispatchEvent> },
+    Probe(Option<Probed>),
+}
+
+impl Owner {
+    pub fn new(key: u64, name: &str, address: SocketAddr, open: Arc<AtomicBool>) -> Owner {
+        Owner {
+            key,
+            name: name.to_string(),
+            address,
+            open,
+            outs: HashMap::new(),
+            waiting: VecDeque::new(),
+            dialing: 0,
+            doubtful: Vec::new(),
+            connections: BTreeMap::new(),
+            opened: 0,
+            gone: false,
+            fresh_for: Duration::MAX,
+            stale_at: Instant::now(),
+            told: None,
+            untold: 0,
+        }
+    }
+
+    /// When something is due, whatever comes.
+    pub fn due(&self) -> Option<Instant> {
+        self.outs.values().filter(|entry| entry.times_out()).map(|entry| entry.due).min()
+    }
+
+    /// Whether there are connections to look at now and then.
+    pub fn connected(&self) -> bool {
+        !self.connections.is_empty()
+    }
+
+    /// Something waits here for a descriptor that it can't have.
+    pub fn lacks_room(&self, context: &OwnerContext) -> bool {
+        !self.waiting.is_empty()
+            && self.dialing == 0
+            && self.connections.len() < context.terms.connections
+            && context.sockets.lease(1).is_none()
+    }
+
+    /// Since when the connection has rested that has rested longest.
+    pub fn rests_since(&self) -> Option<Instant> {
+        self.longest_rest().map(|(since, _)| since)
+    }
+
+    fn longest_rest(&self) -> Option<(Instant, u64)> {
+        let resting = self.connections.iter().filter(|(_, connection)| connection.ids.is_empty());
+        resting.map(|(key, connection)| (connection.since, *key)).min()
+    }
+
+    /// Ends that connection.
+    pub fn make_room(&mut self) {
+        let ended = self.longest_rest().and_then(|(_, key)| self.connections.remove(&key));
+        ended.into_iter().for_each(|connection| drop(connection.stream.shutdown(Shutdown::Both)));
+    }
+
+    /// Nothing can come of it any more.
+    pub fn over(&self) -> bool {
+        self.gone && self.outs.is_empty() && self.doubtful.is_empty()
+    }
+
+    pub fn close(self) {
+        for connection in self.connections.values() {
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn hears(&mut self, news: News, context: &OwnerContext) {
+        if let Some(at) = news.restarted {
+            let old = self.connections.iter().filter(|(_, connection)| connection.opened < at);
+            for connection in old.map(|(number, _)| *number).collect::<Vec<u64>>() {
+                self.lost(connection, "the engine started anew", context);
+            }
+        }
+        self.gone |= news.gone;
+        if news.closed && !self.open.load(SeqCst) {
+            std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
+        }
+        self.assign_waiting(context);
+    }
+
+    pub fn sweep(&mut self, context: &OwnerContext) {
+        self.drop_idle(context);
+        self.drop_silent(context);
+    }
+
+    pub fn carry_out(&mut self, order: Order, context: &OwnerContext) {
+        match order {
+            Order::Send { number, request, gate, words } => {
+                let id = request.id.clone();
+                self.enter(number, id, What::Dispatch { request, gate, words }, context);
+            }
+            Order::Probe { number, told } => {
+                self.enter(number, format!("p{number}").into(), What::Probe(Some(told)), context);
+            }
+            Order::Fetch { number, page } => self.plain(number, |id| wire::fetch(id, page), context),
+            Order::GiveUp { number, done } => {
+                self.give_up(number, context);
+                drop(done);
+            }
+            Order::Dialed(dialed) => self.dialed(dialed, context),
+            Order::Connection { connection, told: ConnectionEvent::Word(id, word, at) } => {
+                self.heard(connection, &id, word, at)
+            }
+            Order::Look => {}
+            Order::Connection { connection, told: ConnectionEvent::Ended(why) } => {
+                self.lost(connection, &why, context)
+            }
+        }
+        // Whatever has come to an end may have left a connection to what waits.
+        self.assign_waiting(context);
+    }
+
+    fn enter(&mut self, number: u64, id: Box<str>, what: What, context: &OwnerContext) {
+        let due = Instant::now() + context.terms.dial / 8;
+        self.outs.insert(
+            number,
+            Entry {
+                what,
+                id,
+                connection: None,
+                headed: false,
+                shares: false,
+                failed: 0,
+                sent: Instant::now(),
+                due,
+            },
+        );
+        self.waiting.push_back(number);
+        self.assign_waiting(context);
+    }
+
+    /// Finds connections for what waits, in turn, or opens more.
+    pub fn assign_waiting(&mut self, context: &OwnerContext) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        while let Some(&number) = self.waiting.front() {
+            let Some(entry) = self.outs.get(&number) else {
+                self.waiting.pop_front();
+                continue;
+            };
+            let full = self.connections.len() + self.dialing >= context.terms.connections;
+            let Some(key) = self.connection_for(&entry.id, full, context) else { break };
+            self.waiting.pop_front();
+            self.assign(number, key, context);
+        }
+        self.dial(context);
+    }
+
+    /// A connection on which no late answer can be taken for that of this id: one with nothing out, best one
+    /// that has just proved to work; where no more may be opened, the one with the least out.
+    fn connection_for(&self, id: &str, share: bool, context: &OwnerContext) -> Option<u64> {
+        let Terms { streams, idle, .. } = context.terms;
+        let usable = self.connections.iter().filter(|(_, connection)| {
+            connection.spent.len() < SPENT
+                && !connection.spent.contains(id)
+                && !connection.ids.contains_key(id)
+                && match connection.ids.len() {
+                    0 => connection.is_fresh(self.fresh_for.min(idle), idle),
+                    out => share && out < streams,
+                }
+        });
+        let best = usable.min_by_key(|(_, connection)| (connection.ids.len(), connection.heard.elapsed()));
+        best.map(|(key, _)| *key)
+    }
+
+    /// Writes it to a connection, after the last look whether it may still leave.
+    fn assign(&mut self, number: u64, key: u64, context: &OwnerContext) {
+        // The end of a connection that rests may have come and not been read yet: what is written then is lost, and
+        // whether it ran can't be known. Half a line on it would spoil the answer.
+        let odd = |connection: &Connection| connection.ids.is_empty() && !connection.is_quiet();
+        if self.connections.get(&key).is_some_and(odd) {
+            self.lost(key, "its end or what nobody asked for came while it rested", context);
+            self.waiting.push_front(number);
+            return self.assign_waiting(context);
+        }
+        let Some(entry) = self.outs.get_mut(&number) else { return };
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        let bytes = match &entry.what {
+            What::Dispatch { request, gate, .. } => {
+                let now = (context.now)();
+                let over = !request.wanted.still_wanted() || now >= request.begin_by;
+                if over || !self.open.load(SeqCst) || !gate.pass(SENT) {
+                    tracing::debug!("job {}: kept back from engine {}", request.id, self.name);
+                    gate.pass(DROPPED);
+                    return self.lose(number);
+                }
+                if !request.ledger.leaves(now, request.ends) {
+                    gate.state.store(DROPPED, SeqCst);
+                    return self.lose(number);
+                }
+                gate.left.store(true, SeqCst);
+                tracing::debug!("job {}: leaves for engine {} on connection {key}", request.id, self.name);
+                let limit_ms = ((request.ends - now).ms().floor() as i64).max(1);
+                wire::request(&request.id, &request.class, limit_ms, request.rank, &request.statement)
+            }
+            What::Probe(_) => wire::probe(&entry.id, context.terms.reports),
+        };
+        if connection.ids.is_empty() {
+            connection.rested = connection.used.then(|| connection.since.elapsed());
+            (connection.since, connection.used) = (Instant::now(), true);
+        }
+        connection.ids.insert(entry.id.clone(), number);
+        entry.sent = Instant::now();
+        (entry.connection, entry.due) = (Some(key), entry.sent + context.terms.dial);
+        let written = loop {
+            match (&*connection.stream).write(&bytes) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                written => break written,
+            }
+        };
+        match written {
+            Ok(count) if count == bytes.len() => {}
+            Ok(count) => self.write(key, &bytes[count..], context),
+            Err(e) => {
+                // Not a byte has left: it may go on another connection, if that does not come again and again.
+                connection.ids.remove(&entry.id);
+                (entry.connection, entry.failed) = (None, entry.failed + 1);
+                let again = entry.failed < FAILED;
+                if let What::Dispatch { request, gate, .. } = &entry.what {
+                    // Unless the job has given it up meanwhile.
+                    let next = if again { QUEUED } else { DROPPED };
+                    let _ = gate.state.compare_exchange(SENT, next, SeqCst, SeqCst);
+                    gate.left.store(false, SeqCst);
+                    request.ledger.stayed();
+                }
+                self.lost(key, &format!("it takes nothing: {e}"), context);
+                if again {
+                    self.waiting.push_back(number);
+                    self.assign_waiting(context);
+                } else {
+                    self.lose(number);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, key: u64, bytes: &[u8], context: &OwnerContext) {
+        let Some(connection) = self.connections.get(&key) else { return };
+        if let Err(e) = (&*connection.stream).write_all(bytes) {
+            self.lost(key, &format!("it takes no more: {e}"), context);
+        }
+    }
+
+    fn dial(&mut self, context: &OwnerContext) {
+        let most = context.terms.connections.saturating_sub(self.connections.len());
+        while self.dialing < self.waiting.len().min(most) && self.dial_once(context) {}
+        if self.dialing == 0 {
+            self.share(context);
+        }
+    }
+
+    /// Starts to make one more connection; says whether it could.
+    fn dial_once(&mut self, context: &OwnerContext) -> bool {
+        let Some(lease) = context.sockets.lease(1) else { return false };
+        let (key, address, dial, orders) =
+            (self.key, self.address, context.terms.dial, context.orders.clone());
+        let dialed = crate::thread(&format!("dial {}", self.name), crate::STACK, move || {
+            let stream = TcpStream::connect_timeout(&address, dial);
+            let dialed = stream.map(|stream| (stream, lease)).map_err(|e| e.to_string());
+            let _ = orders.send((key, Order::Dialed(dialed)));
+        });
+        match dialed {
+            Ok(()) => self.dialing += 1,
+            Err(e) => {
+                self.tell(|name, rest| format!("engine {name}: no thread to connect with: {e}{rest}"));
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Where no connection can be made, those that are there are shared.
+    fn share(&mut self, context: &OwnerContext) {
+        while let Some(&number) = self.waiting.front() {
+            let entry = self.outs.get(&number);
+            let Some(key) = entry.and_then(|entry| self.connection_for(&entry.id, true, context)) else {
+                return;
+            };
+            self.waiting.pop_front();
+            self.assign(number, key, context);
+        }
+    }
+
+    fn dialed(&mut self, dialed: Result<(TcpStream, Lease), String>, context: &OwnerContext) {
+        self.dialing -= 1;
+        let taken = dialed.is_ok();
+        for words in std::mem::take(&mut self.doubtful) {
+            let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, taken));
+        }
+        let connected = dialed.and_then(|(stream, lease)| {
+            self.connect(stream, lease, context).map_err(|e| format!("it can't be read: {e}"))
+        });
+        if let Err(why) = connected {
+            self.tell(|name, rest| format!("engine {name}: cannot connect: {why}{rest}"));
+            if self.dialing == 0 {
+                self.share(context);
+                std::mem::take(&mut self.waiting).into_iter().for_each(|number| self.lose(number));
+            }
+            return;
+        }
+        self.assign_waiting(context);
+    }
+
+    fn connect(&mut self, stream: TcpStream, lease: Lease, context: &OwnerContext) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        stream.set_nonblocking(true)?;
+        let stream = Arc::new(stream);
+        self.opened += 1;
+        let (key, connection, orders) = (self.key, self.opened, context.orders.clone());
+        let tell = Box::new(move |told| drop(orders.send((key, Order::Connection { connection, told }))));
+        let half = ReadHalf::new(stream.clone(), context.terms.dial, tell);
+        let midway = half.midway();
+        context.readers.add(half)?;
+        let connection = Connection {
+            stream,
+            midway,
+            ids: HashMap::new(),
+            spent: HashSet::new(),
+            since: Instant::now(),
+            rested: None,
+            used: false,
+            heard: Instant::now(),
+            opened: (context.now)(),
+            _lease: lease,
+        };
+        self.connections.insert(self.opened, connection);
+        Ok(())
+    }
+
+    fn heard(&mut self, connection: u64, id: &str, word: Word, at: Instant) {
+        let Some(connection) = self.connections.get_mut(&connection) else { return };
+        connection.heard = Instant::now();
+        let Some(number) = connection.ids.get(id).copied() else {
+            counts::STRAY_WORDS.add();
+            return;
+        };
+        let Some(entry) = self.outs.get_mut(&number) else { return };
+        match &mut entry.what {
+            What::Probe(told) => {
+                let (verdict, report) = match word {
+                    Word::Pong(report) => (Verdict::Done, report),
+                    Word::Sick(report) | Word::Fault(report) => (Verdict::Error, report),
+                    Word::Shed(report) => (Verdict::Full, report),
+                    _ => return,
+                };
+                if let Some(told) = told.take() {
+                    told(verdict, report, Span(at.saturating_duration_since(entry.sent).as_micros() as i64));
+                }
+                self.leave(number, false);
+            }
+            What::Dispatch { words, .. } => {
+                let ends = match &word {
+                    Word::Hit { sheets, .. } => {
+                        if std::mem::replace(&mut entry.headed, true) {
+                            return counts::STRAY_WORDS.add();
+                        }
+                        *sheets <= 1
+                    }
+                    Word::Info(None) => return,
+                    Word::Info(_) | Word::Part { .. } => false,
+                    _ => true,
+                };
+                let done = matches!(word, Word::Hit { .. });
+                // A job that can't keep up with a flood of notes misses some; its own time-out ends it.
+                if words.try_send(DispatchEvent::Word(word)).is_err() {
+                    counts::STRAY_WORDS.add();
+                }
+                if ends {
+                    self.leave(number, !done);
+                }
+            }
+        }
+    }
+
+    /// Takes it off its connection. An id that ended otherwise than well is not used there again.
+    fn leave(&mut self, number: u64, spent: bool) -> Option<Entry> {
+        let entry = self.outs.remove(&number)?;
+        match entry.connection.and_then(|connection| self.connections.get_mut(&connection)) {
+            Some(connection) => {
+                connection.ids.remove(&entry.id);
+                connection.since = Instant::now();
+                if spent {
+                    connection.spent.insert(entry.id.clone());
+                }
+            }
+            None => self.waiting.retain(|waits| *waits != number),
+        }
+        Some(entry)
+    }
+
+    /// The job no longer wants it. On a connection that has said nothing for a while nobody may be reading, and
+    /// only its end gives up for certain what is out there.
+    fn give_up(&mut self, number: u64, context: &OwnerContext) {
+        let Some(Entry { connection: Some(key), what, headed, .. }) = self.outs.get(&number) else {
+            return drop(self.leave(number, false));
+        };
+        let (key, headed) = (*key, *headed);
+        let left = match what {
+            What::Dispatch { .. } => true,
+            What::Probe(_) => false,
+        };
+        let silent = |connection: &Connection| {
+            connection.ids.len() == 1 && connection.quiet_for() > context.terms.dial
+        };
+        if left && !headed && self.connections.get(&key).is_some_and(silent) {
+            self.leave(number, true);
+            return self.lost(key, "what was out there was given up", context);
+        }
+        if left {
+            self.plain(number, if headed { wire::end } else { wire::stop }, context);
+        }
+        self.leave(number, left);
+    }
+
+    fn plain(&mut self, number: u64, line: impl Fn(&str) -> Vec<u8>, context: &OwnerContext) {
+        let Some(Entry { connection: Some(key), id, .. }) = self.outs.get(&number) else { return };
+        let (key, bytes) = (*key, line(id));
+        self.write(key, &bytes, context);
+    }
+
+    /// It ends with its connection, or without ever having had one.
+    fn lose(&mut self, number: u64) {
+        let Some(entry) = self.leave(number, true) else { return };
+        match entry.what {
+            What::Dispatch { words, gate, .. } => {
+                if entry.connection.is_none() {
+                    // What was kept back says nothing of its engine.
+                    let kept = gate.state.load(SeqCst) == DROPPED;
+                    let _ = words.try_send(DispatchEvent::Lost(Verdict::Unreachable, kept));
+                } else {
+                    self.doubtful.push(words);
+                }
+            }
+            What::Probe(told) => {
+                let verdict = if entry.connection.is_some() { Verdict::Broken } else { Verdict::Unreachable };
+                told.into_iter().for_each(|told| told(verdict, Report::new(), Span::default()));
+            }
+        }
+    }
+
+    fn lost(&mut self, connection: u64, why: &str, context: &OwnerContext) {
+        let Some(connection) = self.connections.remove(&connection) else { return };
+        let _ = connection.stream.shutdown(Shutdown::Both);
+        counts::LOST_CONNECTIONS.add();
+        if !connection.ids.is_empty() {
+            // One that ends at the first words after a rest was stale: others that rest as long may be, too.
+            let at_once = connection.heard <= connection.since && connection.since.elapsed() < AT_ONCE;
+            if let Some(rested) = connection.rested.filter(|_| at_once) {
+                self.fresh_for = self.fresh_for.min((rested / 2).max(FRESH));
+                self.stale_at = Instant::now();
+            }
+            let open = connection.ids.len();
+            self.tell(|name, rest| format!("engine {name}: lost a connection with {open} open: {why}{rest}"));
+        }
+        let mut numbers: Vec<u64> = connection.ids.into_values().collect();
+        numbers.sort_unstable();
+        numbers.into_iter().for_each(|number| self.lose(number));
+        // A process that has died takes no new connection: that tells its end from a connection's.
+        if !self.doubtful.is_empty() && self.dialing == 0 && !self.dial_once(context) {
+            for words in std::mem::take(&mut self.doubtful) {
+                let _ = words.try_send(DispatchEvent::Lost(Verdict::Broken, false));
+            }
+        }
+    }
+
+    /// One line a while on an engine's troubles, with a count of those that were left out.
+    fn tell(&mut self, line: impl Fn(&str, &str) -> String) {
+        if self.told.is_some_and(|told| told.elapsed() < TELL) {
+            self.untold += 1;
+            return;
+        }
+        let rest = match std::mem::take(&mut self.untold) {
+            0 => String::new(),
+            untold => format!("; {untold} such lines were left out before"),
+        };
+        self.told = Some(Instant::now());
+        tracing::info!("{}", line(&self.name, &rest));
+    }
+
+    pub fn time_out(&mut self, now: Instant, context: &OwnerContext) {
+        let late = self.outs.iter().filter(|(_, entry)| entry.times_out() && entry.due <= now);
+        for number in late.map(|(number, _)| *number).collect::<Vec<u64>>() {
+            let Some(entry) = self.outs.get_mut(&number) else { continue };
+            if entry.connection.is_none() && !std::mem::replace(&mut entry.shares, true) {
+                // A connection of its own takes long: one that is there will do.
+                entry.due = now + context.terms.dial;
+                if let Some(key) =
+                    self.outs.get(&number).and_then(|entry| self.connection_for(&entry.id, true, context))
+                {
+                    self.waiting.retain(|waits| *waits != number);
+                    self.assign(number, key, context);
+                }
+                continue;
+            }
+            match &mut entry.what {
+                What::Probe(told) if entry.connection.is_some() => {
+                    told.take()
+                        .into_iter()
+                        .for_each(|told| told(Verdict::TimedOut, Report::new(), Span::default()));
+                    self.leave(number, true);
+                }
+                _ => self.lose(number),
+            }
+        }
+    }
+
+    fn drop_idle(&mut self, context: &OwnerContext) {
+        let (fresh_for, idle) = (self.fresh_for.min(context.terms.idle), context.terms.idle);
+        if self.stale_at.elapsed() > STALE {
+            (self.fresh_for, self.stale_at) = ((fresh_for * 2).min(idle), Instant::now());
+        }
+        self.connections.retain(|_, connection| {
+            let keep = !connection.ids.is_empty() || connection.is_fresh(fresh_for, idle);
+            if !keep {
+                let _ = connection.stream.shutdown(Shutdown::Both);
+            }
+            keep
+        });
+    }
+
+    /// A connection on which notes are due and nothing comes, while its engine speaks on others, is of no use.
+    /// Where all are silent it is the engine, which is the module's matter.
+    fn drop_silent(&mut self, context: &OwnerContext) {
+        let Some(notes) = context.terms.notes else { return };
+        let speaks = self.connections.values().any(|connection| connection.heard.elapsed() < notes);
+        let silent = self.connections.iter().filter(|(_, connection)| {
+            speaks && !connection.ids.is_empty() && connection.quiet_for() > notes.mul_f64(2.5)
+        });
+        for key in silent.map(|(key, _)| *key).collect::<Vec<u64>>() {
+            self.lost(key, "it fell silent while the engine speaks on others", context);
+        }
+    }
+}
+
+impl Entry {
+    /// Waiting for a connection has an end, and so has a probe; the time-out of a dispatch is the job's.
+    fn times_out(&self) -> bool {
+        self.connection.is_none() || matches!(self.what, What::Probe(_))
+    }
+}
--- a/crates/server/src/memory/owners.rs
+++ b/crates/server/src/memory/owners.rs
@@ -3,7 +3,8 @@
 
 use super::budget::Budget;
 use super::counts;
-use super::engines::{DispatchEvent, News, Order, Owner, OwnerContext, Terms};
+use super::engines::{DispatchEvent, News, Order, Terms};
+use super::owner::{Owner, OwnerContext};
 use super::readers::Readers;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use pebblevane::interface::*;
--- a/crates/server/src/service/clients.rs
+++ b/crates/server/src/service/acceptor.rs
@@ -1,24 +1,19 @@
-//! Accepts client connections and reads what comes on each.
+//! Accepts client connections, and carries out their closes and the steps of a stop.
 
-use crate::job::{AdmittedJob, USUAL_RESULT};
-use crate::memory::budget::{Budget, Lease, Shares};
-use crate::memory::clients::{Client, Names};
+use crate::memory::budget::Lease;
+use crate::memory::clients::Client;
 use crate::memory::counts;
-use crate::memory::dispatch_ledger::{DispatchLedger, RepeatRules};
 use crate::memory::invariants::{self, Invariant};
-use crate::memory::responder::Responder;
-use crate::module::{BACK_IN, Module};
 use crate::service::arrivals::{Arrivals, Wait};
+use crate::service::client_connection::{Closing, Connection, End, Patience, Shared};
 use crate::service::clock;
-use crate::service::shutdown::{Health, Steps};
+use crate::service::shutdown::Steps;
 use crate::startup::patiently;
-use crate::wire::client::{self as wire, Ask, Frame, Message, Reply};
-use crate::wire::sql;
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use pebblevane::interface::*;
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read};
+use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
@@ -42,12 +37,6 @@
 const LOOK: Duration = Duration::from_millis(100); // a wait that is held up shows from here on
 const CROWDED: Duration = Duration::from_millis(20); // and while new ones wait for room, or during a stop
 const COUNTS_EVERY: Duration = Duration::from_secs(30); // pace of the log line of counts
-const SMALL: usize = 4096; // bytes of an unfinished message that are not counted
-/// After each message of no use the next one is read this much later, up to a limit, and to a lower one where
-/// something is open: a client that takes that back is heard well within the 0.1 s in which it still may be sent.
-const PAUSE: Duration = Duration::from_millis(5);
-const LONGEST_PAUSE: u32 = 20;
-const LONGEST_PAUSE_OPEN: u32 = 4;
 /// A connection whose end has been sent is read, and what comes is dropped, until the client ends it too: for so
 /// long, and so many bytes. Where others wait for room, for as long as a request may cross the end.
 const LINGER: Duration = Duration::from_millis(500);
@@ -56,46 +45,8 @@
 const EVENTS: usize = 256;
 const LISTENER: Token = Token(usize::MAX);
 const PIECE: usize = 16 * 1024;
-const TURN: usize = 4; // pieces of one connection before others have their turn
 const BOTH: Interest = Interest::READABLE.add(Interest::WRITABLE);
 
-/// What all client connections share.
-pub struct Shared {
-    pub module: Arc<Module>,
-    pub health: Arc<Health>,
-    pub types: Vec<String>,
-    pub classes: Vec<Arc<str>>,
-    /// What the settings say of repeating each type's jobs.
-    pub rules: Vec<RepeatRules>,
-    pub names: Arc<Names>,
-    /// Descriptors for clients; bytes and threads for jobs.
-    pub sockets: Arc<Budget>,
-    pub bytes: Arc<Budget>,
-    pub jobs: Arc<Budget>,
-}
-
-impl Shared {
-    pub fn new(
-        module: Arc<Module>,
-        health: Arc<Health>,
-        types: Vec<String>,
-        rules: Vec<RepeatRules>,
-        shares: &Shares,
-    ) -> Shared {
-        Shared {
-            module,
-            health,
-            classes: types.iter().map(|name| name.as_str().into()).collect(),
-            types,
-            rules,
-            names: Arc::default(),
-            sockets: Budget::new(shares.clients),
-            bytes: Budget::new(shares.bytes),
-            jobs: Budget::new(shares.jobs),
-        }
-    }
-}
-
 /// The thread that accepts and reads all client connections.
 pub struct Acceptor {
     shared: Shared,
@@ -118,38 +69,6 @@
     pass: u64,
 }
 
-/// How long a connection may be silent: before its first message, within a message, and between messages.
-struct Patience {
-    first: Duration,
-    rest: Duration,
-    idle: Duration,
-}
-
-/// A connection as far as it has been read.
-struct Connection {
-    client: Arc<Client>,
-    bytes: Vec<u8>,
-    held: Lease,
-    /// Since when a message is due: the first since it was accepted, one that has begun since its first byte.
-    owes: Option<Instant>,
-    /// The pass that accepted it, and since when it may have waited for that.
-    accepted: (u64, Moment),
-    /// No whole message has come on it: its first request may be on its way.
-    fresh: bool,
-    useless: u32,
-    /// Nothing is read before this.
-    pauses_until: Option<Instant>,
-    closing: Option<Closing>,
-}
-
-/// A connection on its way to its end: nothing that comes is dealt with any more.
-struct Closing {
-    /// Since when its end has been sent; none while answers are still to leave.
-    ended: Option<Instant>,
-    /// Bytes that are still read.
-    left: usize,
-}
-
 impl Acceptor {
     pub fn new(shared: Shared, listener: TcpListener) -> std::io::Result<Acceptor> {
         let poll = patiently(Poll::new)?;
@@ -431,217 +350,3 @@
         }
     }
 }
-
-/// Why nothing more is read of a connection.
-enum End {
-    /// Its client has left.
-    Left(String),
-    /// What came is of no protocol that is spoken here.
-    Odd(String),
-}
-
-impl From<&str> for End {
-    fn from(why: &str) -> End {
-        End::Odd(why.to_string())
-    }
-}
-
-impl Connection {
-    /// How long it has been of no use, if longer than that is borne.
-    fn useless_for(&self, patience: &Patience) -> Option<Duration> {
-        let idle_for = self.client.idle_for().filter(|_| self.closing.is_none())?;
-        let (silent_for, borne) = match self.owes {
-            Some(since) if self.bytes.is_empty() => (since.elapsed(), patience.first),
-            Some(since) => (since.elapsed(), patience.rest),
-            None => (idle_for, patience.idle),
-        };
-        Some(silent_for).filter(|silent_for| *silent_for > borne)
-    }
-
-    /// Whether nothing is open on it, nothing is on its way to its client and no message has begun.
-    fn rests(&self) -> bool {
-        self.closing.is_none() && self.bytes.is_empty() && self.client.rests()
-    }
-
-    /// Reads what is there, then deals with it: a client that has left behind its messages, or taken them back, is
-    /// heard before any of them is taken. Says whether more may be there.
-    fn read(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
-        let client = self.client.clone();
-        let mut position = client.reading();
-        let more = self.read_and_handle(shared, piece, arrived);
-        position.midway = !self.bytes.is_empty();
-        more
-    }
-
-    fn read_and_handle(&mut self, shared: &Shared, piece: &mut [u8], arrived: Moment) -> Result<bool, End> {
-        let mut more = true;
-        for _ in 0..TURN {
-            let count = match (&self.client.stream).read(piece) {
-                Ok(0) => return Err(End::Left("the client closed it".to_string())),
-                Ok(count) => count,
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    more = false;
-                    break;
-                }
-                Err(e) => return Err(End::Left(e.to_string())),
-            };
-            if let Some(closing) = &mut self.closing {
-                closing.left = closing.left.saturating_sub(count);
-                if closing.left == 0 {
-                    return Err(End::Left("the client goes on behind the end".to_string()));
-                }
-                continue;
-            }
-            self.client.speaks();
-            if self.bytes.is_empty() {
-                self.owes = Some(Instant::now());
-            }
-            self.bytes.extend_from_slice(&piece[..count]);
-        }
-        if self.closing.is_some() {
-            return Ok(more);
-        }
-        let useless = self.useless;
-        self.handle_buffered(shared, arrived)?;
-        if self.useless > useless {
-            // Whoever sends what is of no use at full speed waits; nobody else does.
-            let most = if self.client.rests() { LONGEST_PAUSE } else { LONGEST_PAUSE_OPEN };
-            self.pauses_until = Some(Instant::now() + PAUSE * self.useless.min(most));
-            return Ok(false);
-        }
-        Ok(more)
-    }
-
-    /// Deals with all messages that have come whole.
-    fn handle_buffered(&mut self, shared: &Shared, arrived: Moment) -> Result<(), End> {
-        let (mut done, mut messages, mut broken) = (0, Vec::new(), None);
-        loop {
-            match wire::frame(&self.bytes[done..]) {
-                Frame::Whole(length) => {
-                    let message = wire::decode(&self.bytes[done..done + length], &shared.types);
-                    done += length;
-                    let Some(message) = message else {
-                        broken = Some("a message of another protocol");
-                        break;
-                    };
-                    messages.push(message);
-                }
-                Frame::Partial => break,
-                Frame::Broken(why) => {
-                    broken = Some(why);
-                    break;
-                }
-            }
-        }
-        // Where each number is taken back last: a job that stands before that is never taken.
-        let mut taken_back = HashMap::new();
-        for (at, message) in messages.iter().enumerate() {
-            if let Message::Forget(numbers) = message {
-                taken_back.extend(numbers.iter().map(|number| (*number, at)));
-            }
-        }
-        for (at, message) in messages.into_iter().enumerate() {
-            if let Message::Job(ask) = &message
-                && taken_back.get(&ask.message).is_some_and(|later| *later > at)
-                && !self.client.is_open(ask.message)
-            {
-                counts::LEFT.add();
-                continue;
-            }
-            let used = handle(shared, &self.client, message, arrived)?;
-            self.useless = if used { 0 } else { self.useless + 1 };
-        }
-        if let Some(why) = broken {
-            return Err(why.into());
-        }
-        self.bytes.drain(..done);
-        if done > 0 {
-            self.bytes.shrink_to(SMALL);
-            (self.owes, self.fresh) = (None, false);
-        }
-        if !self.bytes.is_empty() {
-            self.owes.get_or_insert_with(Instant::now);
-        }
-        let past = self.bytes.len().saturating_sub(SMALL);
-        if !self.held.grow_to(past) {
-            return Err("no bytes are left for an unfinished message".into());
-        }
-        self.held.shrink_to(past);
-        Ok(())
-    }
-}
-
-/// Deals with one message; says whether it was of use.
-fn handle(shared: &Shared, client: &Arc<Client>, message: Message, arrived: Moment) -> Result<bool, End> {
-    // Whatever were answered under the number of an open request would be taken for that one's answer.
-    let number = match &message {
-        Message::Job(ask) => Some(ask.message),
-        Message::IsWell(id) | Message::Unusable(id, _) => Some(*id),
-        Message::Forget(_) | Message::Other => None,
-    };
-    if number.is_some_and(|number| client.is_open(number)) {
-        return Err("a message id that is open already".into());
-    }
-    match message {
-        Message::Job(ask) => return Ok(take(shared, client, ask, arrived)),
-        Message::Forget(ids) => {
-            for job in ids.into_iter().filter_map(|id| client.forget(id)) {
-                counts::LEFT.add();
-                shared.module.gone(job);
-            }
-        }
-        Message::IsWell(id) => client.write(id, &Reply::Well(shared.health.is_well())),
-        Message::Unusable(id, why) => {
-            counts::UNUSABLE.add();
-            client.write(id, &Reply::Failed(&why));
-            return Ok(false);
-        }
-        Message::Other => return Ok(false),
-    }
-    Ok(true)
-}
-
-/// Hands a job to the module and to a thread of its own; says whether it could.
-fn take(shared: &Shared, client: &Arc<Client>, ask: Ask, arrived: Moment) -> bool {
-    let Some(taken) = shared.names.take(&ask.id) else {
-        counts::UNUSABLE.add();
-        client.write(ask.message, &Reply::Failed("field i is that of an open request"));
-        return false;
-    };
-    let place = client.has_room().then(|| shared.jobs.lease(1)).flatten();
-    let bytes = shared.bytes.lease(ask.statement.len() + USUAL_RESULT);
-    let Some((place, bytes)) = place.zip(bytes) else {
-        // The one answer that the program gives by itself, for a job that the module never saw.
-        counts::AT_LIMIT.add();
-        client.write(ask.message, &Reply::Throttled(BACK_IN));
-        return false;
-    };
-    let job = Job {
-        reservation: ask.reservation,
-        left: ask.left,
-        cost: ask.cost,
-        memory_mb: ask.memory_mb,
-        group: sql::group(&ask.statement).unwrap_or(0),
-        repeat: ask.repeat,
-        ..Job::default()
-    };
-    let deadline = arrived + ask.left;
-    tracing::debug!("job {}: taken, {:.0} ms left", ask.id, (deadline - clock::now()).ms());
-    let admitted = AdmittedJob {
-        responder: Arc::new(Responder::new(client.clone(), ask.message, &ask.id, taken, deadline)),
-        ledger: Arc::new(DispatchLedger::new(&ask.id, shared.rules[ask.reservation], deadline)),
-        name: ask.id,
-        class: shared.classes[ask.reservation].clone(),
-        statement: ask.statement.into(),
-        bytes,
-        _place: place,
-    };
-    let taken = shared.module.take(job, arrived, admitted);
-    if taken {
-        counts::TAKEN.add()
-    } else {
-        counts::AT_LIMIT.add()
-    }
-    taken
-}
