--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -183,7 +183,9 @@
     pub fn draw(seed: u64, gateways: usize, seconds: f64) -> Plan {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         let seconds = if chance.random_bool(0.2) { seconds * LONGER } else { seconds };
-        let engines = chance.random_range(6..=14);
+        // Some fleets have next to no engines, so that a cold one has to be held back to stay up.
+        let few = chance.random_bool(0.3);
+        let engines = if few { chance.random_range(3..=5) } else { chance.random_range(6..=14) };
         let zones = chance.random_range(1..=2);
         let mut class = |name: &str, semantics, work_ms, zone| {
             let least = chance.random_range(2..=6) * 150;
@@ -210,13 +212,13 @@
             seed,
             gateways,
             engines,
-            cores: [4.0, 8.0, 16.0][chance.random_range(0..3)],
+            cores: if few { 2.0 } else { [4.0, 8.0, 16.0][chance.random_range(0..3)] },
             zones,
             group: [Group::Zone, Group::Cell, Group::All][chance.random_range(0..3)],
             classes,
             rules,
             traffic_until_ms: (seconds * 1000.0) as u64,
-            think_ms: chance.random_range(150..=500),
+            think_ms: if few { chance.random_range(60..=150) } else { chance.random_range(150..=500) },
             clients_per_gateway: chance.random_range(2..=4),
             schedule: vec![],
         };
