--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -198,7 +198,7 @@
             class("local", Semantics::Restartable, 30, (zones > 1).then_some(1)),
         ];
         let rules = Rules {
-            dedup_window: Duration::from_millis(chance.random_range(4..=20) * 100),
+            dedup_window: Duration::from_millis(chance.random_range(1..=10) * 100),
             budget_window: Duration::from_millis(chance.random_range(10..=40) * 100),
             spare_attempts: f64::from(chance.random_range(2..=6)),
             extra_ratio: f64::from(chance.random_range(5..=30)) / 100.0,
