A wait of up to 2 ms counts as one that found its events there

0.2 ms is what the call alone takes a program with a tenth of a core; what comes within 2 ms is then counted from the wait before, a pass earlier at the most. All tests pass.

--- a/crates/server/src/service/arrivals.rs
+++ b/crates/server/src/service/arrivals.rs
@@ -3,8 +3,9 @@
 
 use pebblevane::interface::{Moment, Span};
 
-/// A wait for events that ends within this time found them there.
-const AT_ONCE: Span = Span(200);
+/// A wait for events that ends within this time found them there: the call alone takes a program with a tenth of a core
+/// some tenths of a millisecond. Counting what came within it from the wait before is wrong by no more than a pass.
+const AT_ONCE: Span = Span(2_000);
 /// A wait that ends this much later than it was to was held up.
 const HELD_UP: Span = Span(10_000);
 
