--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -14,6 +14,8 @@
 use tokio::sync::watch;
 
 const HEARTBEAT: Duration = Duration::from_millis(1000);
+/// The port of a bus that went down is free after this time at the latest.
+const PORT_FREE: Duration = Duration::from_secs(2);
 /// A new event is looked for this often.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -79,11 +81,12 @@
 
     /// Listens, at the old port or a new one.
     pub async fn start(&self, world: &Arc<World>, same_port: bool) -> std::io::Result<()> {
-        let port = if same_port { self.port() } else { 0 };
+        let port = if same_port { self.port() } else { world.new_port() };
+        let began = Instant::now();
         let listener = loop {
             match TcpListener::bind(("0.0.0.0", port)).await {
                 Ok(listener) => break listener,
-                Err(_) if port != 0 => tokio::time::sleep(LOOK).await,
+                Err(_) if began.elapsed() < PORT_FREE => tokio::time::sleep(LOOK).await,
                 Err(e) => return Err(e),
             }
         };
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -19,6 +19,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// Within this time all that had waited in the queue are accepted.
 const QUEUE_EMPTIES: Duration = Duration::from_millis(100);
+/// The port of a process that has ended is free after this time at the latest.
+const PORT_FREE: Duration = Duration::from_secs(2);
 /// Connections that wait to be accepted.
 const QUEUE: u32 = 8;
 
@@ -135,11 +137,12 @@
 
     /// Starts the process, at its old port if it had one.
     pub async fn start(self: &Arc<Self>, world: &Arc<World>) -> std::io::Result<()> {
-        let port = self.port();
+        let port = if self.port() == 0 { world.new_port() } else { self.port() };
+        let began = Instant::now();
         let listener = loop {
             match listen(port) {
                 Ok(listener) => break listener,
-                Err(_) if port != 0 => tokio::time::sleep(LOOK).await,
+                Err(_) if began.elapsed() < PORT_FREE => tokio::time::sleep(LOOK).await,
                 Err(e) => return Err(e),
             }
         };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,9 +24,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
 
-/// Gateways of plays side by side have ports from here on, apart from those that the system gives out.
+/// Plays side by side have ports of their own from here on, so many each, below those that the system gives out: an
+/// engine that is away for a moment finds its port free when it comes back.
 const FIRST_PORT: u16 = 10_000;
-const PORTS: u64 = 20_000;
+const PORTS_A_PLAY: u64 = 100;
+const PLAYS: u64 = 220;
 
 /// Plays seeds and judges them.
 #[derive(Parser)]
@@ -164,7 +166,7 @@
 async fn play_one(plan: Plan, arguments: &Arguments) -> Result<Vec<String>, PlayError> {
     let seed = plan.seed;
     let folder = arguments.folder.join(format!("seed-{seed}"));
-    let port = FIRST_PORT + (seed * 7919 % PORTS) as u16;
+    let port = FIRST_PORT + (seed % PLAYS * PORTS_A_PLAY) as u16;
     let played = run::play(plan, &folder, &arguments.program, port).await?;
     let broken: Vec<String> =
         played.verdict.broken().map(|violation| format!("{:?}", violation.rule)).collect();
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -8,7 +8,7 @@
 use crate::plan::Plan;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicI64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU16, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Instant, SystemTime};
 
@@ -22,6 +22,8 @@
     engines: Mutex<Vec<Arc<Engine>>>,
     pub bus: Bus,
     pub gateways: Vec<Gateway>,
+    /// The next port of this play that nobody has.
+    next_port: AtomicU16,
     /// The clock that stamps engines' starts, less the system's (microseconds).
     pub stamp_offset_us: AtomicI64,
     /// Traffic has ended.
@@ -57,11 +59,17 @@
             engines: Mutex::default(),
             bus: Bus::default(),
             gateways,
+            // The first one is the gateways', each at an address of its own.
+            next_port: AtomicU16::new(port + 1),
             stamp_offset_us: AtomicI64::new(0),
             over: AtomicBool::new(false),
         }
     }
 
+    pub fn new_port(&self) -> u16 {
+        self.next_port.fetch_add(1, SeqCst)
+    }
+
     pub fn is_over(&self) -> bool {
         self.over.load(SeqCst)
     }
