A SIGHUP before the program listens to signals is ignored by the way it is run

Nothing in the program can come before its first instruction. Change: run is 'trap '' HUP; ... exec', so that the signal is ignored until the program takes it over; what it tells is read anyway. The soak starts its processes the same way.

--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::process::Command;
 
+/// How the deploy file starts the program: a SIGHUP that comes before the program listens to signals is ignored, as the
+/// configuration is still to be read then; by itself it would end the process.
+const RUN: &str = "trap '' HUP; exec \"$0\"";
 /// From SIGTERM to SIGKILL: the longest deadline, and what the operators allow beside it.
 const STOP_WITHIN: Duration = Duration::from_millis(3000 + 700);
 /// A start that takes longer has failed.
@@ -130,7 +133,9 @@
         if !control.exists() {
             std::fs::write(&control, [0; CONTROL_BYTES])?;
         }
-        let mut child = Command::new(&world.program)
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", RUN])
+            .arg(&world.program)
             .env_clear()
             .env("NODE_CONFIG", &config)
             .env("MALLOC_ARENA_MAX", "1")
