--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -55,6 +55,7 @@
     end(&world, clients, troubles).await;
     lag.abort();
     let books = world.ledger.take();
+    world.close();
     let verdict = judge(&world.plan, &books);
     Ok(Played { plan: world.plan.clone(), books, verdict })
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -87,6 +87,13 @@
         engine
     }
 
+    /// Ends all that listens: the play is over.
+    pub fn close(&self) {
+        let engines = locked(&self.engines).clone();
+        engines.iter().for_each(|engine| engine.die(self));
+        self.bus.stop();
+    }
+
     /// The run of a gateway's process that is under way.
     pub fn run_of(&self, gateway: usize) -> GatewayRun {
         GatewayRun { gateway, run: self.gateways[gateway].run() }
