Tests that hold two guards for certain: the window of keyed jobs, fresh connections at a stop

The test of fresh connections at a stop passed now and then without its guard, as the request could come while connections were being closed.

--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -57,8 +57,9 @@
     program.signal("TERM");
     program.logged("stopping");
     let mut fresh = program.client();
-    // The stop has come to the point from which it closes what rests.
+    // The stop has come to the point from which it closes what rests, and has looked at every connection.
     assert_eq!(resting.next(), "closed");
+    std::thread::sleep(Duration::from_millis(100));
     fresh.ask(2, "lookup", 20_000);
     let mut trace = vec![match engines.soon() {
         Some(seen) => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -278,6 +278,27 @@
     );
 }
 
+/// A keyed job that may have run goes again within its window of 2 s and not after it, though its client waits and its SLA
+/// time is far away.
+#[test]
+fn a_keyed_job_is_not_sent_again_after_its_window() {
+    let mut desk = Desk::new(&[("Classes.2.Aim", 10000.0)], 6);
+    desk.left = 9000.0;
+    for broken_after in [1900.0, 2000.0] {
+        let job = desk.take(KEYED, 11, None);
+        desk.pass(broken_after);
+        desk.settle(job, 0, Verdict::Broken, broken_after);
+        desk.pass(100.0);
+    }
+    same(desk, expect![[r#"
+        0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]:
+        0     take 0: send 0 to 5
+        1900  Broken 0.0: send 0 to 1
+        2000  take 1: send 1 to 5
+        4000  Broken 1.0: cancel 1
+    "#]]);
+}
+
 #[test]
 fn nothing_goes_to_an_engine_that_drains_or_is_gone() {
     let mut desk = Desk::new(&[], 3);
