--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -102,7 +102,8 @@
     }
 
     pub fn accept_late(&self, time: Duration) {
-        locked(&self.state).accepts_from = Some(Instant::now() + time);
+        let mut state = locked(&self.state);
+        state.accepts_from = state.accepts_from.max(Some(Instant::now() + time));
     }
 
     /// Listens where another engine did.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -290,13 +290,16 @@
         desk.settle(job, 0, Verdict::Broken, broken_after);
         desk.pass(100.0);
     }
-    same(desk, expect![[r#"
+    same(
+        desk,
+        expect![[r#"
         0     list [0 Running, 1 Running, 2 Running, 3 Running, 4 Running, 5 Running]:
         0     take 0: send 0 to 5
         1900  Broken 0.0: send 0 to 1
         2000  take 1: send 1 to 5
         4000  Broken 1.0: cancel 1
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
