--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -36,6 +36,13 @@
     pub started_at_ms: i64,
 }
 
+impl Change {
+    /// A change of an engine's present run.
+    pub fn of(engine: &Engine, lifecycle: Lifecycle, started_at_ms: i64) -> Change {
+        Change { engine: engine.index, run: engine.run(), lifecycle, started_at_ms }
+    }
+}
+
 #[derive(Default)]
 pub struct Bus {
     state: Mutex<State>,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,12 +65,7 @@
     for _ in 0..world.plan.engines {
         let engine = world.add_engine();
         engine.start(world).await.map_err(PlayError::Listen)?;
-        list.push(Change {
-            engine: engine.index,
-            run: engine.run(),
-            lifecycle: Lifecycle::InService,
-            started_at_ms: 0,
-        });
+        list.push(Change::of(&engine, Lifecycle::InService, 0));
     }
     world.bus.publish(world, list);
     Ok(())
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -98,12 +98,10 @@
 }
 
 fn drain(world: &World, engines: &[usize]) {
-    let changes = engines.iter().filter_map(|engine| world.engine(*engine)).map(|engine| Change {
-        engine: engine.index,
-        run: engine.run(),
-        lifecycle: Lifecycle::Terminating,
-        started_at_ms: 0,
-    });
+    let changes = engines
+        .iter()
+        .filter_map(|engine| world.engine(*engine))
+        .map(|engine| Change::of(&engine, Lifecycle::Terminating, 0));
     world.bus.publish(world, changes.collect());
 }
 
@@ -115,12 +113,7 @@
         if engine.start(world).await.is_err() {
             return;
         }
-        changes.push(Change {
-            engine: engine.index,
-            run: engine.run(),
-            lifecycle: Lifecycle::InService,
-            started_at_ms: world.stamp_ms(),
-        });
+        changes.push(Change::of(&engine, Lifecycle::InService, world.stamp_ms()));
     }
     world.bus.publish(world, changes);
     drain(world, engines);
@@ -142,21 +135,11 @@
         let engine = world.add_engine();
         engine.take_port(old.port());
         if engine.start(world).await.is_ok() {
-            changes.push(Change {
-                engine: engine.index,
-                run: engine.run(),
-                lifecycle: Lifecycle::InService,
-                started_at_ms: world.stamp_ms(),
-            });
+            changes.push(Change::of(&engine, Lifecycle::InService, world.stamp_ms()));
         }
     }
     world.bus.publish(world, changes);
-    let gone = old.iter().map(|old| Change {
-        engine: old.index,
-        run: old.run(),
-        lifecycle: Lifecycle::Terminated,
-        started_at_ms: 0,
-    });
+    let gone = old.iter().map(|old| Change::of(&old, Lifecycle::Terminated, 0));
     world.bus.publish(world, gone.collect());
 }
 
@@ -167,12 +150,7 @@
     let mut changes = vec![];
     for engine in engines {
         if engine.start(world).await.is_ok() {
-            changes.push(Change {
-                engine: engine.index,
-                run: engine.run(),
-                lifecycle: Lifecycle::InService,
-                started_at_ms: world.stamp_ms(),
-            });
+            changes.push(Change::of(&engine, Lifecycle::InService, world.stamp_ms()));
         }
     }
     world.bus.publish(world, changes);
