--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -139,7 +139,7 @@
         }
     }
     world.bus.publish(world, changes);
-    let gone = old.iter().map(|old| Change::of(&old, Lifecycle::Terminated, 0));
+    let gone = old.iter().map(|old| Change::of(old, Lifecycle::Terminated, 0));
     world.bus.publish(world, gone.collect());
 }
 
