--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -45,10 +45,8 @@
     std::thread::Builder::new().name(name.to_string()).stack_size(stack).spawn(what).map(drop)
 }
 
-/// What waits for a connection is looked at once more when that has come up: what nobody wants any more, or what had to
-/// begin before that, never leaves, though nobody has recalled it yet, and its engine is not at fault. The rest leaves.
-#[test]
-fn the_last_look_before_the_first_byte_knows_what_may_not_leave() {
+/// Owners that wait long for a connection and have a few of them.
+fn start_owners() -> Arc<Owners> {
     let terms = Terms {
         streams: 32,
         dial: Duration::from_secs(9),
@@ -57,7 +55,14 @@
         connections: 8,
         reports: false,
     };
-    let owners = Owners::start(terms, Budget::new(8), clock::now).unwrap();
+    Owners::start(terms, Budget::new(8), clock::now).unwrap()
+}
+
+/// What waits for a connection is looked at once more when that has come up: what nobody wants any more, or what had to
+/// begin before that, never leaves, though nobody has recalled it yet, and its engine is not at fault. The rest leaves.
+#[test]
+fn the_last_look_before_the_first_byte_knows_what_may_not_leave() {
+    let owners = start_owners();
     let rules = RepeatRules::RunOnce;
     let mut trace = String::new();
     for what in ["wanted", "left", "late"] {
@@ -110,15 +115,7 @@
 #[test]
 fn owners_go_on_where_no_thread_can_be_made() {
     let far = clock::now() + Span(60_000_000);
-    let terms = Terms {
-        streams: 32,
-        dial: Duration::from_secs(9),
-        idle: Duration::from_secs(9),
-        notes: None,
-        connections: 8,
-        reports: false,
-    };
-    let owners = Owners::start(terms, Budget::new(8), clock::now).unwrap();
+    let owners = start_owners();
     let crowded = Crowded::start();
     let engine = Engine::new(&owners, "refused", crowded.address.parse().unwrap());
     let request = |id: &str| Request {
