The preloaded library that makes system calls fail is a crate of its own

The soak test alone could start the program under failing system calls. Tests of the server need the same to force rare orders, so the library and its control file move to crates/syscall-faults, typed by kind of fault. The faults that the soak plays are the same as before.

--- a/crates/server/tests/server/support/program.rs
+++ b/crates/server/tests/server/support/program.rs
@@ -5,9 +5,11 @@
 use super::config::ProgramConfig;
 use super::engines::EngineStandIns;
 use super::event_bus::EventBusStandIn;
+use pebblevane_syscall_faults::FaultControl;
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
@@ -23,6 +25,9 @@
 /// Descriptors that the system gives the program unless a test says otherwise.
 const DESCRIPTOR_LIMIT: u32 = 1024;
 
+/// Determines which calls fail where only a share of them does.
+const FAULTS_SEED: u64 = 1;
+
 /// Numbers the configuration files of this test process.
 static STARTS: AtomicU32 = AtomicU32::new(0);
 
@@ -42,6 +47,12 @@
     pub config_file: String,
 }
 
+/// A running program whose system calls a test can let fail.
+pub struct FaultyProgram {
+    pub program: Program,
+    pub faults: FaultControl,
+}
+
 /// A running program.
 pub struct Program {
     process: KillOnDrop,
@@ -70,11 +81,25 @@
     }
     /// Starts it where the system gives so many descriptors.
     pub fn start_with_descriptor_limit(config: ProgramConfig, descriptors: u32) -> Program {
+        Program::start_in_shell(config, descriptors, None)
+    }
+    /// Starts it so that its system calls can be made to fail. None fails yet.
+    pub fn start_with_faults(config: ProgramConfig) -> FaultyProgram {
+        let number = STARTS.fetch_add(1, SeqCst);
+        let file = format!("faults-{}-{number}", std::process::id());
+        let faults = FaultControl::open(&PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file)).unwrap();
+        let program = Program::start_in_shell(config, DESCRIPTOR_LIMIT, Some(&faults));
+        FaultyProgram { program, faults }
+    }
+    fn start_in_shell(config: ProgramConfig, descriptors: u32, faults: Option<&FaultControl>) -> Program {
         let prepared = Program::command(&config.listen("127.0.0.1:0"));
         let mut command = Command::new("sh");
         command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\"")]);
         command.arg(prepared.command.get_program());
         set_environment(&mut command, &prepared.config_file);
+        if let Some(faults) = faults {
+            command.envs(faults.environment(FAULTS_SEED));
+        }
         let mut process = KillOnDrop(command.stdout(Stdio::piped()).spawn().unwrap());
         let log = read_log(&mut process.0);
         let address = wait_for_address(&log);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,9 +3,10 @@
 use crate::bus::{Change, Lifecycle};
 use crate::client::Client;
 use crate::engine::Engine;
-use crate::gateway::{FAULT_BREAK, FAULT_THREAD, Phase, SYSCALL_FAULT_KINDS};
+use crate::gateway::Phase;
 use crate::schedule::{Fault, ScheduledFault};
 use crate::testbed::Testbed;
+use pebblevane_syscall_faults::FaultKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
@@ -201,15 +202,29 @@
 }
 
 async fn fail_calls(testbed: &Arc<Testbed>, gateways: &[usize], share: f64, time: Duration) {
-    let mut shares = [share; SYSCALL_FAULT_KINDS];
     // A broken connection ends all that is out on it, and threads fail together.
-    (shares[FAULT_BREAK], shares[FAULT_THREAD]) = (share / 20.0, share / 2.0);
+    let rates = [
+        (FaultKind::Accept, share),
+        (FaultKind::Socket, share),
+        (FaultKind::Connect, share),
+        (FaultKind::Wait, share),
+        (FaultKind::Short, share),
+        (FaultKind::Break, share / 20.0),
+        (FaultKind::Thread, share / 2.0),
+        (FaultKind::Interrupt, share),
+    ];
+    fail_for(testbed, gateways, &rates, time).await;
+}
+
+/// Lets calls fail for a time.
+async fn fail_for(testbed: &Arc<Testbed>, gateways: &[usize], rates: &[(FaultKind, f64)], time: Duration) {
+    let none: Vec<(FaultKind, f64)> = rates.iter().map(|(kind, _)| (*kind, 0.0)).collect();
     for gateway in gateways {
-        testbed.gateways[*gateway].fail_calls(testbed, shares);
+        testbed.gateways[*gateway].fail_calls(testbed, rates);
     }
     tokio::time::sleep(time).await;
     for gateway in gateways {
-        testbed.gateways[*gateway].fail_calls(testbed, [0.0; SYSCALL_FAULT_KINDS]);
+        testbed.gateways[*gateway].fail_calls(testbed, &none);
     }
 }
 
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -4,8 +4,8 @@
 use crate::testbed::{Testbed, link_address, locked};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use pebblevane_syscall_faults::{FaultControl, FaultKind};
 use serde_json::json;
-use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
@@ -23,12 +23,6 @@
 /// A start that takes longer has failed.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const LOOK: Duration = Duration::from_millis(20);
-const CONTROL_BYTES: usize = 64;
-/// Sorts of faults, as the shim numbers them.
-pub const SYSCALL_FAULT_KINDS: usize = 8;
-/// The sort that breaks connections, and the one that keeps threads from being made.
-pub const FAULT_BREAK: usize = 5;
-pub const FAULT_THREAD: usize = 6;
 /// More of a log than this is not kept.
 const LONGEST_LOG: usize = 4 * 1024 * 1024;
 
@@ -110,29 +104,28 @@
     /// Steps the program's wall clock.
     pub fn step_clock(&self, testbed: &Testbed, offset: Duration, back: bool) {
         let offset_us = offset.as_micros() as i64 * if back { -1 } else { 1 };
-        self.control(testbed, 0, &offset_us.to_ne_bytes());
+        let _ = self.fault_control(testbed).and_then(|control| control.set_wall_offset_us(offset_us));
     }
 
-    /// Sets how often each sort of call fails.
-    pub fn fail_calls(&self, testbed: &Testbed, shares: [f64; SYSCALL_FAULT_KINDS]) {
-        let rates = shares.map(|share| (share * f64::from(u32::MAX)) as u32);
-        let bytes: Vec<u8> = rates.iter().flat_map(|rate| rate.to_ne_bytes()).collect();
-        self.control(testbed, 8, &bytes);
+    /// Sets how often system calls of these kinds fail.
+    pub fn fail_calls(&self, testbed: &Testbed, rates: &[(FaultKind, f64)]) {
+        let Ok(control) = self.fault_control(testbed) else { return };
+        for (kind, share) in rates {
+            let _ = control.set_rate(*kind, *share);
+        }
     }
 
-    fn control(&self, testbed: &Testbed, at: u64, bytes: &[u8]) {
-        let file = std::fs::OpenOptions::new().write(true).open(self.file(testbed, "control"));
-        let _ = file.and_then(|file| file.write_all_at(bytes, at));
+    fn fault_control(&self, testbed: &Testbed) -> std::io::Result<FaultControl> {
+        FaultControl::open(&self.file(testbed, "control"))
     }
 
     /// Starts the process and returns at once; it is ready later.
     pub fn start(&self, testbed: &Arc<Testbed>, stale: bool) -> std::io::Result<()> {
         let run = GatewayRun { gateway: self.index, run: self.run.fetch_add(1, SeqCst) + 1 };
-        let (config, control) = (self.file(testbed, "json"), self.file(testbed, "control"));
+        let config = self.file(testbed, "json");
         std::fs::write(&config, self.configuration(testbed, run, stale))?;
-        if !control.exists() {
-            std::fs::write(&control, [0; CONTROL_BYTES])?;
-        }
+        let control = self.fault_control(testbed)?;
+        let fault_seed = testbed.schedule.seed * 1009 + self.index as u64;
         let mut child = Command::new("/bin/sh")
             .args(["-c", RUN])
             .arg(&testbed.program)
@@ -140,9 +133,7 @@
             .env("NODE_CONFIG", &config)
             .env("MALLOC_ARENA_MAX", "1")
             .env("PEBBLEVANE_LOG", "debug")
-            .env("LD_PRELOAD", env!("SOAK_SHIM"))
-            .env("SOAK_CONTROL", &control)
-            .env("SOAK_SEED", (testbed.schedule.seed * 1009 + self.index as u64).to_string())
+            .envs(control.environment(fault_seed))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
--- a/crates/soak/shim/faults.c
+++ b/crates/syscall-faults/shim/faults.c
@@ -1,10 +1,21 @@
-/* Preloaded into a program under soak: makes documented system calls fail at chance, and steps its wall clock.
+/* Preloaded into a program under test: makes documented system calls fail at random, and steps its wall clock.
  *
- * SOAK_CONTROL names a file of 64 bytes that the soak test writes and this maps: the wall clock's offset in
- * microseconds, then a rate for each sort of fault (0 never, 2^32 - 1 always). SOAK_SEED seeds the chance.
- * Reads and writes fail on TCP connections alone: a signal's handler that wakes a thread over a pair of sockets, without
- * waiting, is interrupted by nothing. Only connections that the program made itself are broken: its clients' ones are
- * theirs to break. */
+ * FAULTS_CONTROL names a file of 64 bytes that the test writes and this library maps: the offset of the wall clock in
+ * microseconds, then a rate for each kind of fault (0 never, 2^32 - 1 always). FAULTS_SEED seeds the random numbers.
+ *
+ *   accept4             ACCEPT: ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR
+ *   socket              SOCKET: EMFILE, ENFILE, ENOBUFS, ENOMEM
+ *   connect             CONNECT: EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EINTR
+ *   epoll_wait, poll    WAIT: EINTR
+ *   recv, send on TCP   INTERRUPT: EINTR; SHORT: one byte is transferred
+ *     ... connected     BREAK: the connection ends for both sides, with ECONNRESET, ETIMEDOUT, EHOSTUNREACH or EPIPE;
+ *                       DELAY_READ: recv returns its data 20 ms late
+ *     ... accepted      ACCEPTED_PEEK, ACCEPTED_READ, ACCEPTED_WRITE: ETIMEDOUT, EHOSTUNREACH, ECONNRESET or ENETDOWN,
+ *                       told once, while the connection stays open
+ *   recv, send, read, write on anything else
+ *                       INTERRUPT_LOCAL: EINTR
+ *   pthread_create      THREAD: EAGAIN
+ */
 
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -22,7 +33,22 @@
 #include <time.h>
 #include <unistd.h>
 
-enum fault { ACCEPT, SOCKET, CONNECT, WAIT, SHORT, BREAK, THREAD, INTERRUPT, FAULTS };
+enum fault {
+    ACCEPT,
+    SOCKET,
+    CONNECT,
+    WAIT,
+    SHORT,
+    BREAK,
+    THREAD,
+    INTERRUPT,
+    ACCEPTED_PEEK,
+    ACCEPTED_READ,
+    ACCEPTED_WRITE,
+    INTERRUPT_LOCAL,
+    DELAY_READ,
+    FAULTS
+};
 
 struct control {
     _Atomic int64_t wall_offset_us;
@@ -31,6 +57,7 @@
 
 #define CONTROL_BYTES 64
 #define MOST_DESCRIPTORS 4096
+#define READ_DELAY_US 20000
 
 static struct control *control;
 static _Atomic uint64_t chance = 0x9e3779b97f4a7c15u;
@@ -67,7 +94,7 @@
     if (real == NULL) real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
 
 __attribute__((constructor)) static void begin(void) {
-    const char *path = getenv("SOAK_CONTROL"), *seed = getenv("SOAK_SEED");
+    const char *path = getenv("FAULTS_CONTROL"), *seed = getenv("FAULTS_SEED");
     if (seed != NULL) atomic_store(&chance, strtoull(seed, NULL, 10) * 0x2545f4914f6cdd1du + 1);
     if (path == NULL) return;
     int file = open(path, O_RDONLY | O_CLOEXEC);
@@ -145,22 +172,47 @@
 
 ssize_t recv(int file, void *buffer, size_t length, int flags) {
     REAL(recv);
-    if (origin_of(file) == OTHER) return real(file, buffer, length, flags);
+    enum origin origin = origin_of(file);
+    if (origin == OTHER) {
+        if (happens(INTERRUPT_LOCAL)) return FAILS(EINTR);
+        return real(file, buffer, length, flags);
+    }
     if (happens(INTERRUPT)) return FAILS(EINTR);
+    if (origin == ACCEPTED && happens(flags & MSG_PEEK ? ACCEPTED_PEEK : ACCEPTED_READ))
+        return FAILS(ETIMEDOUT, EHOSTUNREACH, ECONNRESET, ENETDOWN);
     if (!(flags & MSG_PEEK) && breaks(file)) return FAILS(ECONNRESET, ETIMEDOUT, EHOSTUNREACH);
     if (length > 1 && happens(SHORT)) length = 1;
-    return real(file, buffer, length, flags);
+    ssize_t result = real(file, buffer, length, flags);
+    if (result > 0 && origin == CONNECTED && !(flags & MSG_PEEK) && happens(DELAY_READ)) usleep(READ_DELAY_US);
+    return result;
 }
 
 ssize_t send(int file, const void *buffer, size_t length, int flags) {
     REAL(send);
-    if (origin_of(file) == OTHER) return real(file, buffer, length, flags);
+    enum origin origin = origin_of(file);
+    if (origin == OTHER) {
+        if (happens(INTERRUPT_LOCAL)) return FAILS(EINTR);
+        return real(file, buffer, length, flags);
+    }
     if (happens(INTERRUPT)) return FAILS(EINTR);
+    if (origin == ACCEPTED && happens(ACCEPTED_WRITE)) return FAILS(ETIMEDOUT, EHOSTUNREACH, ECONNRESET, ENETDOWN);
     if (breaks(file)) return FAILS(EPIPE, ECONNRESET, ETIMEDOUT, EHOSTUNREACH);
     if (length > 1 && happens(SHORT)) length = 1;
     return real(file, buffer, length, flags);
 }
 
+ssize_t read(int file, void *buffer, size_t length) {
+    REAL(read);
+    if (origin_of(file) == OTHER && happens(INTERRUPT_LOCAL)) return FAILS(EINTR);
+    return real(file, buffer, length);
+}
+
+ssize_t write(int file, const void *buffer, size_t length) {
+    REAL(write);
+    if (origin_of(file) == OTHER && happens(INTERRUPT_LOCAL)) return FAILS(EINTR);
+    return real(file, buffer, length);
+}
+
 int pthread_create(pthread_t *restrict thread, const pthread_attr_t *restrict attributes, void *(*run)(void *),
                    void *restrict argument) {
     REAL(pthread_create);
