Engine connections: what was read has one owner, whom the pool asks before reuse

Callers saw an answer spoilt by bytes that the engine had sent on an idle connection before. The poller had read them and not yet set has_partial_message when the pool looked: the bytes were neither in the socket (peek) nor flagged.

ConnectionInput now owns the bytes that were read and the end of the connection. The poller reads and the pool asks under one lock, so no byte is between the two; messages are passed on after the lock is released.

--- a/crates/server/src/engine/connection.rs
+++ b/crates/server/src/engine/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an engine: the requests in flight on it, and whether it may be reused.
 
+use crate::engine::connection_input::ConnectionInput;
 use crate::engine::ids::RequestId;
 use crate::limits::Permit;
 use pebblevane::time::Timestamp;
@@ -7,7 +8,6 @@
 use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 /// A connection with this many retired ids takes no new requests.
@@ -24,8 +24,8 @@
 /// One connection to an engine.
 pub(crate) struct EngineConnection {
     stream: Arc<TcpStream>,
-    /// Set by the socket poller while only the first part of a message has been read.
-    has_partial_message: Arc<AtomicBool>,
+    /// Its receiving side, which the socket poller reads.
+    input: Arc<ConnectionInput>,
     /// The requests in flight, by their ids on the wire.
     pub(crate) requests: HashMap<Box<str>, RequestId>,
     /// Ids of requests that ended without their final answer. A late answer may still arrive under them, so they are
@@ -48,13 +48,13 @@
     /// A connection that was made just now.
     pub(crate) fn new(
         stream: Arc<TcpStream>,
-        has_partial_message: Arc<AtomicBool>,
+        input: Arc<ConnectionInput>,
         opened_at: Timestamp,
         permit: Permit,
     ) -> EngineConnection {
         EngineConnection {
             stream,
-            has_partial_message,
+            input,
             requests: HashMap::new(),
             retired_ids: HashSet::new(),
             last_change: Instant::now(),
@@ -85,10 +85,9 @@
         self.last_change.elapsed() < limit
     }
 
-    /// Whether there is input that no request explains: a partial message, unread bytes, or the end of the stream.
+    /// Whether there is input that no request explains: an incomplete message, unread bytes, or the end of the stream.
     pub(crate) fn has_unexpected_input(&self) -> bool {
-        let no_input = |e: io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted);
-        self.has_partial_message.load(SeqCst) || !self.stream.peek(&mut [0]).is_err_and(no_input)
+        !self.input.is_quiet()
     }
 
     /// The time without a message from the engine, counted from the last change of the connection at the earliest.
--- a/crates/server/src/engine/mod.rs
+++ b/crates/server/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod command;
 mod connection;
 mod connection_error;
+mod connection_input;
 mod dialer;
 pub mod dispatch_ledger;
 mod endpoint_updates;
--- a/crates/server/src/engine/pool/connecting.rs
+++ b/crates/server/src/engine/pool/connecting.rs
@@ -4,11 +4,11 @@
 use crate::engine::command::{PoolCommand, RegistryMessage};
 use crate::engine::connection::{DialedConnection, EngineConnection};
 use crate::engine::connection_error::ConnectError;
+use crate::engine::connection_input::ConnectionInput;
 use crate::engine::dialer::DialTarget;
 use crate::engine::ids::ConnectionId;
-use crate::engine::socket_poller::ReadHalf;
+use crate::engine::socket_poller::PolledConnection;
 use std::io;
-use std::net::TcpStream;
 use std::sync::Arc;
 
 impl EnginePool {
@@ -64,22 +64,26 @@
         let stream = Arc::new(dialed.stream);
         let id = ConnectionId(self.last_connection.0 + 1);
         self.last_connection = id;
-        let read_half = self.read_half(id, stream.clone(), context);
-        let has_partial_message = read_half.has_partial_message();
-        context.poller.add(read_half)?;
+        let input = Arc::new(ConnectionInput::new(stream.clone()));
+        context.poller.add(self.polled_connection(id, input.clone(), context))?;
         let opened_at = (context.now)();
-        let connection = EngineConnection::new(stream, has_partial_message, opened_at, dialed.permit);
+        let connection = EngineConnection::new(stream, input, opened_at, dialed.permit);
         self.connections.insert(id, connection);
         Ok(())
     }
 
-    fn read_half(&self, connection: ConnectionId, stream: Arc<TcpStream>, context: &PoolContext) -> ReadHalf {
+    fn polled_connection(
+        &self,
+        connection: ConnectionId,
+        input: Arc<ConnectionInput>,
+        context: &PoolContext,
+    ) -> PolledConnection {
         let (pool, messages) = (self.id, context.messages.clone());
         let on_event = Box::new(move |event| {
             let command = PoolCommand::ConnectionEvent { connection, event };
             // The receiver lives as long as the program.
             let _ = messages.send(RegistryMessage::Command { pool, command });
         });
-        ReadHalf::new(stream, context.settings.dial_timeout, on_event)
+        PolledConnection { input, stall_timeout: context.settings.dial_timeout, on_event }
     }
 }
--- a/crates/server/src/engine/pool/mod.rs
+++ b/crates/server/src/engine/pool/mod.rs
@@ -187,9 +187,7 @@
 
     fn handle_connection_event(&mut self, id: ConnectionId, event: ConnectionEvent, context: &PoolContext) {
         match event {
-            ConnectionEvent::Message { wire_id, message, read_at } => {
-                self.message_received(id, &wire_id, message, read_at);
-            }
+            ConnectionEvent::Message(received) => self.message_received(id, received),
             ConnectionEvent::Ended(reason) => self.connection_lost(id, &reason, context),
         }
     }
--- a/crates/server/src/engine/pool/results.rs
+++ b/crates/server/src/engine/pool/results.rs
@@ -5,6 +5,7 @@
 use crate::codec::engine::{EngineMessage, encode_end, encode_stop};
 use crate::engine::connection::EngineConnection;
 use crate::engine::connection_error::ConnectionLostReason;
+use crate::engine::connection_input::ReceivedMessage;
 use crate::engine::ids::{ConnectionId, RequestId};
 use crate::engine::request::{DispatchEvent, HealthCheckResult};
 use crate::telemetry::counters;
@@ -26,16 +27,11 @@
 
 impl EnginePool {
     /// Handles a message that was received on a connection.
-    pub(super) fn message_received(
-        &mut self,
-        connection: ConnectionId,
-        wire_id: &str,
-        message: EngineMessage,
-        read_at: Instant,
-    ) {
+    pub(super) fn message_received(&mut self, connection: ConnectionId, received: ReceivedMessage) {
+        let ReceivedMessage { wire_id, message, read_at } = received;
         let Some(connection) = self.connections.get_mut(&connection) else { return };
         connection.last_received = Instant::now();
-        let Some(id) = connection.requests.get(wire_id).copied() else {
+        let Some(id) = connection.requests.get(wire_id.as_str()).copied() else {
             counters::UNEXPECTED_ENGINE_MESSAGES.increment();
             return;
         };
--- a/crates/server/tests/server/engine_connections.rs
+++ b/crates/server/tests/server/engine_connections.rs
@@ -6,8 +6,9 @@
 use crate::support::config::ProgramConfig;
 use crate::support::engines::{EngineStandIns, ReceivedLine};
 use crate::support::event_bus::{EventBusStandIn, IN_SERVICE, TERMINATING, endpoint};
-use crate::support::program::Program;
+use crate::support::program::{FaultyProgram, Program};
 use expect_test::expect;
+use pebblevane_syscall_faults::FaultKind;
 use serde_json::{Value as Json, json};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -230,3 +231,25 @@
         seen = next;
     }
 }
+
+/// The same while the reader has taken the half line from the socket and has not come to look at it.
+#[test]
+fn an_idle_connection_is_not_reused_while_its_bytes_are_being_read() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let FaultyProgram { program, faults } =
+        Program::start_with_faults(ProgramConfig::new(&engines, &bus.address));
+    let mut client = program.connect();
+    faults.set_rate(FaultKind::DelayRead, 1.0).unwrap();
+
+    client.submit(1, "load", 20_000);
+    let mut seen = engines.next_line();
+    for message in 2..12 {
+        seen.reply("HIT", "-", "");
+        assert_eq!(client.next_answer(), format!("{}: done ", message - 1));
+        seen.send_raw(b"0000");
+        client.submit(message, "load", 20_000);
+        let next = engines.next_line();
+        assert_eq!((next.field(0), next.shares_connection_with(&seen)), ("REQ", false));
+        seen = next;
+    }
+}
