A dispatch handed over after its engine began to drain fails at once

Callers waited to the end of their time and were told that the job had failed, though another engine was free and the job had never been sent. The pool fails its waiting dispatches when its engine drains; a job's thread that handed its dispatch over a moment later put it into the queue after that, where nothing ended its wait.

The pool now looks when it queues a dispatch, withholds it and reports it.

--- a/crates/server/src/engine/pool/mod.rs
+++ b/crates/server/src/engine/pool/mod.rs
@@ -192,10 +192,28 @@
         }
     }
 
+    /// Queues a request. A dispatch that was handed over after its engine began to drain fails at once: no later event
+    /// would end its wait for a connection.
     fn enqueue(&mut self, id: RequestId, wire_id: Box<str>, kind: RequestKind, context: &PoolContext) {
+        let is_withheld = self.withhold_if_draining(&kind);
         let request = InFlightRequest::waiting(wire_id, kind, context.settings.dial_timeout);
         self.in_flight.insert(id, request);
         self.waiting.push_back(id);
-        self.assign_waiting(context);
+        if is_withheld {
+            self.fail_request(id);
+        } else {
+            self.assign_waiting(context);
+        }
+    }
+
+    /// Withholds a dispatch if its engine accepts none any more. Returns whether it did.
+    fn withhold_if_draining(&self, kind: &RequestKind) -> bool {
+        let RequestKind::Dispatch { request, gate, .. } = kind else { return false };
+        let is_draining = !self.accepts_dispatches.load(SeqCst);
+        if is_draining {
+            tracing::debug!(job = %request.id, engine = %self.name, "dispatch withheld");
+            gate.withhold();
+        }
+        is_draining
     }
 }
--- a/crates/server/tests/server/connection_pool.rs
+++ b/crates/server/tests/server/connection_pool.rs
@@ -131,3 +131,29 @@
 
     assert!(ended(first.cancel()));
 }
+
+/// A job's thread may hand its dispatch over after the pool has learnt that the engine drains. The dispatch fails at once,
+/// so that its job goes elsewhere, and does not wait for a connection first.
+#[test]
+fn a_dispatch_handed_over_after_its_engine_began_to_drain_fails_at_once() {
+    let far = clock::now() + TimeDelta(60_000_000);
+    let pool = start_pool();
+    let unaccepting = UnacceptingEngine::start();
+    let engine = EngineHandle::new(&pool, "draining", unaccepting.address.parse().unwrap());
+
+    engine.set_accepts_dispatches(false);
+    let dispatch = engine.send(EngineRequest {
+        id: "0123456789abcdef".into(),
+        class: "load".into(),
+        deadline: far,
+        begin_by: far,
+        liveness: Arc::new(CancellationToken::default()),
+        ledger: Arc::new(DispatchLedger::new("0123456789abcdef", RetrySemantics::RunOnce, far)),
+        priority: None,
+        statement: b"select 1".as_slice().into(),
+    });
+    // Connecting to this engine fails after nine seconds.
+    let event = dispatch.events.recv_timeout(Duration::from_secs(5));
+
+    expect!["Ok(Lost { status: Unreachable, engine_reachable: true })"].assert_eq(&format!("{event:?}"));
+}
