Client connections: whoever is told of an error reports it, and the owner ends the connection

Callers waited for an answer that never came, on a connection that stayed open.

Failures of reads, read-aheads and writes now go to ConnectionFailures, which wakes the clients' thread; that thread alone ends connections. Answers that were given leave first: a failed read closes the connection gracefully, it used to abort it. A graceful close reads on to discard what is left, also where the bytes that closed it filled a whole turn of reads.

The run-time check CancelledByClient counts a request that a read-ahead has cancelled and that neither a message nor the connection's end cancels.

--- a/crates/server/src/client/close_reason.rs
+++ b/crates/server/src/client/close_reason.rs
@@ -1,6 +1,7 @@
 //! Why a client connection ends.
 
 use crate::codec::client::ProtocolError;
+use crate::session::connection_failures::ConnectionError;
 use thiserror::Error;
 
 /// Why a client connection ends, for the log.
@@ -9,9 +10,9 @@
     /// The client has closed the connection, or its side of it.
     #[error("closed by the client")]
     ClosedByClient,
-    /// Reading from the connection failed.
+    /// A read or write failed, or the client did not read its answers.
     #[error(transparent)]
-    ReadFailed(#[from] std::io::Error),
+    Failed(#[from] ConnectionError),
     /// The client kept sending after this side of the connection was shut down.
     #[error("the client sent too much during the graceful close")]
     LingerBytesExceeded,
--- a/crates/server/src/client/event_loop/accept.rs
+++ b/crates/server/src/client/event_loop/accept.rs
@@ -1,9 +1,10 @@
 //! Accepting connections.
 
-use super::{ClientEventLoop, ConnectionId, READ_AND_WRITE};
+use super::{ClientEventLoop, READ_AND_WRITE, token};
 use crate::client::connection::ClientConnection;
 use crate::limits::Permit;
 use crate::session::client_session::ClientSession;
+use crate::session::connection_failures::ConnectionId;
 use mio::unix::SourceFd;
 use std::io::{Error, ErrorKind};
 use std::net::TcpStream;
@@ -49,8 +50,8 @@
         let empty_permit = || self.context.buffer_bytes.acquire(0).ok_or(ErrorKind::OutOfMemory);
         let (received_permit, output_permit) = (empty_permit()?, empty_permit()?);
         let id = ConnectionId(self.unused_ids.next().expect("the range has no end"));
-        self.poll.registry().register(&mut SourceFd(&stream.as_raw_fd()), id.token(), READ_AND_WRITE)?;
-        let session = ClientSession::new(stream, descriptor, output_permit);
+        self.poll.registry().register(&mut SourceFd(&stream.as_raw_fd()), token(id), READ_AND_WRITE)?;
+        let session = ClientSession::new(id, stream, descriptor, output_permit, self.failures.clone());
         let connection = ClientConnection::new(session, received_permit, self.pass);
         self.connections.insert(id, connection);
         Ok(())
--- a/crates/server/src/client/event_loop/close.rs
+++ b/crates/server/src/client/event_loop/close.rs
@@ -1,9 +1,10 @@
 //! Ending connections: at once, or gracefully.
 
-use super::{ClientEventLoop, ConnectionId};
+use super::ClientEventLoop;
 use crate::client::close_reason::CloseReason;
 use crate::client::connection::ClientConnection;
 use crate::session::client_session::ClientSession;
+use crate::session::connection_failures::ConnectionId;
 use crate::telemetry::counters;
 use crate::telemetry::invariants::{self, Invariant};
 use mio::unix::SourceFd;
@@ -34,6 +35,15 @@
         let session = connection.session.clone();
         self.cancel_open_requests(&session);
         self.advance_close(id);
+        // What is left to read is discarded, and a dead connection shows its end.
+        self.request_event(id);
+    }
+
+    /// Ends the connections that have failed, whichever thread noticed it.
+    pub(super) fn close_failed(&mut self) {
+        for failure in self.failures.take() {
+            self.close(failure.connection, &failure.error.into());
+        }
     }
 
     /// Closes a connection that `is_unneeded`, after reading it: bytes received in the meantime may mean that it is
--- a/crates/server/src/client/event_loop/evict.rs
+++ b/crates/server/src/client/event_loop/evict.rs
@@ -1,10 +1,11 @@
 //! Closing idle connections: after the usual time, or sooner if new connections wait for a descriptor.
 
-use super::{ClientEventLoop, ConnectionId};
+use super::ClientEventLoop;
 use crate::client::close_reason::CloseReason;
 use crate::client::closing::ClosingConnection;
 use crate::client::connection::ClientConnection;
 use crate::client::idle::{IDLE_LIMITS, IDLE_LIMITS_AT_CAPACITY};
+use crate::session::connection_failures::ConnectionId;
 use crate::telemetry::counters;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
             connection.session.flush();
             if connection.closing.is_some() {
                 self.advance_close(id);
+            } else if connection.session.has_unconfirmed_cancellations() {
+                self.read(id);
             } else if is_overdue(connection) {
                 self.close_unless_needed(id, is_overdue, &CloseReason::Idle);
             }
--- a/crates/server/src/client/event_loop/mod.rs
+++ b/crates/server/src/client/event_loop/mod.rs
@@ -15,14 +15,16 @@
 use super::reading::ReadProgress;
 use crate::lifecycle::clock;
 use crate::lifecycle::startup::retry_transient_errors;
+use crate::session::connection_failures::{ConnectionFailures, ConnectionId};
 use crate::telemetry::counters;
 use mio::unix::SourceFd;
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Interest, Poll, Token, Waker};
 use pebblevane::time::TimeDelta;
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::ops::RangeFrom;
 use std::os::fd::AsRawFd;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How often idle connections are closed.
@@ -36,16 +38,11 @@
 const EVENTS_CAPACITY: usize = 256;
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 const LISTENER_TOKEN: Token = Token(usize::MAX);
+const FAILURE_TOKEN: Token = Token(usize::MAX - 1);
 const READ_AND_WRITE: Interest = Interest::READABLE.add(Interest::WRITABLE);
 
-/// The number of a connection. Numbers are not reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct ConnectionId(usize);
-
-impl ConnectionId {
-    fn token(self) -> Token {
-        Token(self.0)
-    }
+fn token(id: ConnectionId) -> Token {
+    Token(id.0)
 }
 
 /// The thread that accepts, reads and closes all client connections.
@@ -57,6 +54,8 @@
     /// Whether connections may be pending that are to be accepted in a later pass.
     accept_pending: bool,
     connections: HashMap<ConnectionId, ClientConnection>,
+    /// Connections that any thread has seen to fail.
+    failures: Arc<ConnectionFailures>,
     /// Connections whose reading is paused.
     paused: Vec<ConnectionId>,
     unused_ids: RangeFrom<usize>,
@@ -85,6 +84,7 @@
     /// The system's error if it refuses a poller, or the listener can't be polled.
     pub fn new(context: ClientContext, listener: TcpListener) -> std::io::Result<ClientEventLoop> {
         let poll = retry_transient_errors(Poll::new)?;
+        let waker = retry_transient_errors(|| Waker::new(poll.registry(), FAILURE_TOKEN))?;
         listener.set_nonblocking(true)?;
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER_TOKEN, Interest::READABLE)?;
         Ok(ClientEventLoop {
@@ -93,6 +93,7 @@
             listener: Some(listener),
             accept_pending: false,
             connections: HashMap::new(),
+            failures: Arc::new(ConnectionFailures::new(waker)),
             paused: Vec::new(),
             unused_ids: 0..,
             read_buffer: vec![0; READ_BUFFER_BYTES],
@@ -146,6 +147,7 @@
         for event in events {
             match event.token() {
                 LISTENER_TOKEN => outcome.has_new_connections = true,
+                FAILURE_TOKEN => {}
                 Token(id) if event.is_read_closed() => outcome.closed.push(ConnectionId(id)),
                 Token(id) => outcome.ready.push(ConnectionId(id)),
             }
@@ -170,6 +172,7 @@
     }
 
     fn process(&mut self, outcome: PollOutcome) {
+        self.close_failed();
         for id in outcome.closed {
             self.closed_by_client(id);
         }
@@ -219,7 +222,7 @@
         let Some(connection) = self.connections.get(&id) else { return };
         let descriptor = connection.session.stream().as_raw_fd();
         // Registering a registered descriptor again does not fail.
-        let _ = self.poll.registry().reregister(&mut SourceFd(&descriptor), id.token(), READ_AND_WRITE);
+        let _ = self.poll.registry().reregister(&mut SourceFd(&descriptor), token(id), READ_AND_WRITE);
     }
 
     /// Handles a connection that the client has closed, or of which it has shut down its side. The two can't be
--- a/crates/server/src/client/event_loop/shutdown.rs
+++ b/crates/server/src/client/event_loop/shutdown.rs
@@ -1,9 +1,10 @@
 //! The steps of a graceful shutdown.
 
-use super::{ClientEventLoop, ConnectionId};
+use super::ClientEventLoop;
 use crate::client::close_reason::CloseReason;
 use crate::client::connection::ClientConnection;
 use crate::lifecycle::shutdown::ShutdownSchedule;
+use crate::session::connection_failures::ConnectionId;
 use pebblevane::time::Timestamp;
 
 impl ClientEventLoop {
--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -5,7 +5,10 @@
 use super::connection::ClientConnection;
 use super::context::ClientContext;
 use crate::codec::client::{self as codec, Frame, Message, ProtocolError, RequestId};
+use crate::lifecycle::transient::is_transient_io_error;
+use crate::session::connection_failures::ConnectionError;
 use crate::telemetry::counters;
+use crate::telemetry::invariants::{self, Invariant};
 use pebblevane::time::Timestamp;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read};
@@ -67,7 +70,7 @@
         buffer: &mut [u8],
         arrived_at: Timestamp,
     ) -> Result<ReadProgress, ReadError> {
-        let progress = self.receive(buffer).map_err(ReadError::Abort)?;
+        let progress = self.receive(buffer)?;
         if self.closing.is_some() {
             return Ok(progress);
         }
@@ -77,9 +80,20 @@
             self.paused_until = Some(Instant::now() + self.refusal_pause());
             return Ok(ReadProgress::Paused);
         }
+        if progress == ReadProgress::Drained && self.received.is_empty() {
+            self.check_cancellations();
+        }
         Ok(progress)
     }
 
+    /// Checks that each request that a read-ahead has cancelled was cancelled by one of the messages, all of which have
+    /// been processed. Otherwise its client, whose connection is still open, waits for an answer that never comes.
+    fn check_cancellations(&self) {
+        for request_id in self.session.take_unconfirmed_cancellations() {
+            invariants::violated(Invariant::CancelledByClient, &request_id.0.to_string());
+        }
+    }
+
     /// The pause slows down clients that send many messages which are refused.
     fn refusal_pause(&self) -> Duration {
         let max_factor =
@@ -88,19 +102,28 @@
     }
 
     /// Reads received bytes, up to a limit. During a graceful close they are discarded.
-    fn receive(&mut self, buffer: &mut [u8]) -> Result<ReadProgress, CloseReason> {
+    fn receive(&mut self, buffer: &mut [u8]) -> Result<ReadProgress, ReadError> {
         for _ in 0..READS_PER_TURN {
             match self.session.stream().read(buffer) {
-                Ok(0) => return Err(CloseReason::ClosedByClient),
-                Ok(count) => self.keep_or_discard(&buffer[..count])?,
+                Ok(0) => return Err(ReadError::Abort(CloseReason::ClosedByClient)),
+                Ok(count) => self.keep_or_discard(&buffer[..count]).map_err(ReadError::Abort)?,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(ReadProgress::Drained),
-                Err(e) => return Err(e.into()),
+                // What is to be written still leaves; a dead connection shows its end at the next read.
+                Err(_) if self.closing.is_some() => return Ok(ReadProgress::Drained),
+                Err(e) if is_transient_io_error(&e) => return Ok(self.pause_reading()),
+                Err(e) => return Err(ReadError::Close(ConnectionError::from(e).into())),
             }
         }
         Ok(ReadProgress::MoreAvailable)
     }
 
+    /// Lets the connection rest after the system had no memory to read it.
+    fn pause_reading(&mut self) -> ReadProgress {
+        self.paused_until = Some(Instant::now() + REFUSAL_PAUSE);
+        ReadProgress::Paused
+    }
+
     fn keep_or_discard(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
         if let Some(closing) = &mut self.closing {
             return closing.discard(bytes.len()).then_some(()).ok_or(CloseReason::LingerBytesExceeded);
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -5,3 +5,4 @@
 pub mod startup;
 pub mod sync;
 pub mod threads;
+pub mod transient;
--- a/crates/server/src/session/client_session.rs
+++ b/crates/server/src/session/client_session.rs
@@ -3,14 +3,17 @@
 //! Locks are taken in the order `read_position`, `requests`, `output`.
 
 use super::cancellation::CancellationToken;
+use super::connection_failures::{ConnectionError, ConnectionFailures, ConnectionId};
 use super::write_buffer::WriteBuffer;
 use crate::codec::client::{self as codec, Reply, RequestId};
 use crate::lifecycle::sync::lock;
+use crate::lifecycle::transient::is_transient_io_error;
 use crate::limits::Permit;
 use pebblevane::interface::JobId;
-use std::collections::HashMap;
-use std::io::ErrorKind;
+use std::collections::{HashMap, HashSet};
+use std::io::{self, ErrorKind};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -21,13 +24,27 @@
 
 /// A client connection. Answers are written one after another, and no thread blocks until the client reads them.
 pub struct ClientSession {
+    id: ConnectionId,
     stream: TcpStream,
     output: Mutex<WriteBuffer>,
     requests: Mutex<OpenRequests>,
     read_position: Mutex<ReadPosition>,
+    failures: Arc<ConnectionFailures>,
+    /// A failure has been reported.
+    has_failed: AtomicBool,
     _descriptor: Permit,
 }
 
+/// What the bytes that were received but not yet read say about a request.
+enum ReadAhead {
+    /// Nothing of it.
+    Nothing,
+    /// The client has cancelled it, or closed the connection.
+    Cancelled,
+    /// The connection has failed.
+    Failed(io::Error),
+}
+
 /// How far a connection has been read. The thread that reads holds its lock until it has processed what it read.
 #[derive(Default)]
 pub struct ReadPosition {
@@ -37,6 +54,8 @@
 
 struct OpenRequests {
     by_id: HashMap<RequestId, OpenRequest>,
+    /// Requests that a read-ahead has cancelled, until the thread that reads comes to their cancellation.
+    cancelled_ahead: HashSet<RequestId>,
     /// When bytes were last received, or a request was last answered or cancelled.
     last_activity: Instant,
 }
@@ -48,14 +67,27 @@
 
 impl ClientSession {
     /// A session on a connected, non-blocking stream. `descriptor` is held as long as the session, `output` covers
-    /// answers that the client has not read yet.
-    pub fn new(stream: TcpStream, descriptor: Permit, output: Permit) -> ClientSession {
-        let requests = OpenRequests { by_id: HashMap::new(), last_activity: Instant::now() };
+    /// answers that the client has not read yet. `failures` receives the failure of the connection.
+    pub fn new(
+        id: ConnectionId,
+        stream: TcpStream,
+        descriptor: Permit,
+        output: Permit,
+        failures: Arc<ConnectionFailures>,
+    ) -> ClientSession {
+        let requests = OpenRequests {
+            by_id: HashMap::new(),
+            cancelled_ahead: HashSet::new(),
+            last_activity: Instant::now(),
+        };
         ClientSession {
+            id,
             stream,
             output: Mutex::new(WriteBuffer::new(output)),
             requests: Mutex::new(requests),
             read_position: Mutex::default(),
+            failures,
+            has_failed: AtomicBool::new(false),
             _descriptor: descriptor,
         }
     }
@@ -70,17 +102,60 @@
         lock(&self.read_position)
     }
 
-    /// Whether bytes that were received but not yet read cancel this request, or the connection has ended.
-    pub fn has_unread_cancellation(&self, request_id: RequestId) -> bool {
+    /// Cancels this request if bytes that were received but not yet read cancel it, or the connection has ended. Returns
+    /// whether it did.
+    pub fn cancel_if_unread(&self, request_id: RequestId) -> bool {
         // The thread that holds the lock processes cancellations itself.
         let Ok(position) = self.read_position.try_lock() else { return false };
+        match self.read_ahead(&position, request_id) {
+            ReadAhead::Nothing => return false,
+            ReadAhead::Cancelled => {}
+            ReadAhead::Failed(error) => self.fail(error.into()),
+        }
+        self.cancel_ahead(request_id);
+        true
+    }
+
+    fn read_ahead(&self, position: &ReadPosition, request_id: RequestId) -> ReadAhead {
         let mut unread = [0; PEEK_BYTES];
-        match self.stream.peek(&mut unread) {
-            Ok(0) => true,
-            Ok(count) => {
-                !position.inside_message && codec::contains_cancellation(&unread[..count], request_id)
-            }
-            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        loop {
+            return match self.stream.peek(&mut unread) {
+                Ok(0) => ReadAhead::Cancelled,
+                Ok(_) if position.inside_message => ReadAhead::Nothing,
+                Ok(count) if codec::contains_cancellation(&unread[..count], request_id) => {
+                    ReadAhead::Cancelled
+                }
+                Ok(_) => ReadAhead::Nothing,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if is_transient_io_error(&e) => ReadAhead::Nothing,
+                Err(e) => ReadAhead::Failed(e),
+            };
+        }
+    }
+
+    fn cancel_ahead(&self, request_id: RequestId) {
+        let mut requests = lock(&self.requests);
+        if let Some(open) = requests.by_id.remove(&request_id) {
+            open.cancellation.cancel();
+            requests.cancelled_ahead.insert(request_id);
+        }
+    }
+
+    /// Whether a request was cancelled by a read-ahead, and the thread that reads has not come to its cancellation.
+    pub fn has_unconfirmed_cancellations(&self) -> bool {
+        !lock(&self.requests).cancelled_ahead.is_empty()
+    }
+
+    /// Takes the requests that a read-ahead has cancelled and no message since.
+    #[must_use]
+    pub fn take_unconfirmed_cancellations(&self) -> HashSet<RequestId> {
+        std::mem::take(&mut lock(&self.requests).cancelled_ahead)
+    }
+
+    /// Reports that the connection has failed, so that its owner ends it.
+    fn fail(&self, error: ConnectionError) {
+        if !self.has_failed.swap(true, SeqCst) {
+            self.failures.report(self.id, error);
         }
     }
 
@@ -126,6 +201,7 @@
     pub fn cancel(&self, request_id: RequestId) -> Option<JobId> {
         let mut requests = lock(&self.requests);
         requests.last_activity = Instant::now();
+        requests.cancelled_ahead.remove(&request_id);
         let open = requests.by_id.remove(&request_id)?;
         open.cancellation.cancel();
         Some(open.job)
@@ -159,7 +235,7 @@
     pub fn write(&self, request_id: RequestId, reply: &Reply) {
         let mut output = lock(&self.output);
         if !output.is_closed() {
-            output.write(codec::encode(request_id, reply), &self.stream);
+            self.check(output.write(codec::encode(request_id, reply), &self.stream));
         }
     }
 
@@ -167,7 +243,7 @@
     pub fn flush(&self) {
         let mut output = lock(&self.output);
         if !output.is_empty() {
-            output.flush(&self.stream);
+            self.check(output.flush(&self.stream));
         }
     }
 
@@ -175,7 +251,7 @@
     /// reads the end of the stream after its last answer, and what it still sends does not reset the connection.
     pub fn finish_writing(&self) -> bool {
         let mut output = lock(&self.output);
-        output.flush(&self.stream);
+        self.check(output.flush(&self.stream));
         let finished = output.is_empty();
         if finished {
             output.shut_down(&self.stream);
@@ -183,6 +259,12 @@
         finished
     }
 
+    fn check(&self, written: Result<(), ConnectionError>) {
+        if let Err(error) = written {
+            self.fail(error);
+        }
+    }
+
     /// Ends the connection at once. Answers that were not read are lost.
     pub fn abort(&self) {
         lock(&self.output).abort(&self.stream);
--- a/crates/server/src/session/mod.rs
+++ b/crates/server/src/session/mod.rs
@@ -3,5 +3,6 @@
 pub mod cancellation;
 pub mod client_job_ids;
 pub mod client_session;
+pub mod connection_failures;
 pub mod responder;
 mod write_buffer;
--- a/crates/server/src/session/responder.rs
+++ b/crates/server/src/session/responder.rs
@@ -93,9 +93,8 @@
 impl ClientLiveness for Responder {
     /// Also checks the bytes that were received from the client but not yet read for a cancellation.
     fn is_waiting(&self) -> bool {
-        if self.is_open() && self.session.has_unread_cancellation(self.request_id) {
+        if self.is_open() && self.session.cancel_if_unread(self.request_id) {
             tracing::debug!(job = %self.job_id, "job cancelled by unread bytes");
-            self.session.cancel(self.request_id);
         }
         !self.is_finished()
     }
--- a/crates/server/src/session/write_buffer.rs
+++ b/crates/server/src/session/write_buffer.rs
@@ -1,8 +1,10 @@
 //! Buffers answers that a client does not read immediately.
 
+use super::connection_failures::ConnectionError;
+use crate::lifecycle::transient::is_transient_io_error;
 use crate::limits::Permit;
 use crate::telemetry::counters;
-use std::io::{ErrorKind, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -34,52 +36,65 @@
     }
 
     /// Appends a message, and writes as much as the socket buffer has space for.
-    pub fn write(&mut self, message: Vec<u8>, stream: &TcpStream) {
+    ///
+    /// # Errors
+    /// As [`WriteBuffer::flush`].
+    pub fn write(&mut self, message: Vec<u8>, stream: &TcpStream) -> Result<(), ConnectionError> {
         if self.unwritten.is_empty() {
             self.unwritten_since = Instant::now();
         }
         self.unwritten.extend(message);
-        self.flush(stream);
+        self.flush(stream)
     }
 
-    /// Writes as much as the socket buffer has space for. A client that reads too slowly is disconnected, since only
-    /// the end of the connection shows it that an answer is incomplete.
-    pub fn flush(&mut self, stream: &TcpStream) {
-        let Some(written) = self.write_available(stream) else {
-            return self.cut_off(stream);
-        };
+    /// Writes as much as the socket buffer has space for.
+    ///
+    /// # Errors
+    /// If the connection has failed, or the client reads too slowly. It is aborted then, since only its end shows the
+    /// client that an answer is incomplete.
+    pub fn flush(&mut self, stream: &TcpStream) -> Result<(), ConnectionError> {
+        let flushed = self.try_flush(stream);
+        if let Err(error) = &flushed {
+            if !matches!(error, ConnectionError::Socket(_)) {
+                counters::SLOW_CLIENTS_CUT_OFF.increment();
+            }
+            self.abort(stream);
+        }
+        flushed
+    }
+
+    fn try_flush(&mut self, stream: &TcpStream) -> Result<(), ConnectionError> {
+        let written = self.write_available(stream)?;
         self.unwritten.drain(..written);
         self.unwritten.shrink_to(0);
         let remaining = self.unwritten.len();
         if !self.permit.grow_to(remaining) {
-            return self.cut_off(stream);
+            return Err(ConnectionError::OutOfBufferBytes);
         }
         self.permit.shrink_to(remaining);
+        Ok(())
     }
 
-    /// The number of bytes that were written, or `None` if the client has disconnected or is too slow.
-    fn write_available(&self, mut stream: &TcpStream) -> Option<usize> {
+    /// The number of bytes that were written.
+    fn write_available(&self, mut stream: &TcpStream) -> Result<usize, ConnectionError> {
         let mut written = 0;
         while written < self.unwritten.len() {
             match stream.write(&self.unwritten[written..]) {
-                Ok(count) if count > 0 => written += count,
+                Ok(0) => return Err(io::Error::from(ErrorKind::WriteZero).into()),
+                Ok(count) => written += count,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock && !self.is_overdue() => break,
-                _ => return None,
+                Err(e) if is_transient_io_error(&e) && !self.is_overdue() => break,
+                Err(e) if is_transient_io_error(&e) => return Err(ConnectionError::SlowClient),
+                Err(e) => return Err(e.into()),
             }
         }
-        Some(written)
+        Ok(written)
     }
 
     fn is_overdue(&self) -> bool {
         self.unwritten_since.elapsed() >= WRITE_TIMEOUT
     }
 
-    fn cut_off(&mut self, stream: &TcpStream) {
-        counters::SLOW_CLIENTS_CUT_OFF.increment();
-        self.abort(stream);
-    }
-
     /// Ends the connection at once and discards what was not written.
     pub fn abort(&mut self, stream: &TcpStream) {
         self.closed = true;
--- a/crates/server/src/telemetry/invariants.rs
+++ b/crates/server/src/telemetry/invariants.rs
@@ -14,6 +14,8 @@
     AnsweredInTime,
     /// The program closes a connection by choice only when no request is open on it (rule 1).
     ClosedOnlyWhenIdle,
+    /// A request that is cancelled before its cancellation was read has one, or its connection ends (rule 1).
+    CancelledByClient,
     /// A job has at most one dispatch in flight (rule 2).
     SingleDispatchInFlight,
     /// A job that must run at most once is dispatched again only if it provably never ran (rule 2).
@@ -28,10 +30,11 @@
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Invariant; 8] = [
+    pub const ALL: [Invariant; 9] = [
         Invariant::Answered,
         Invariant::AnsweredInTime,
         Invariant::ClosedOnlyWhenIdle,
+        Invariant::CancelledByClient,
         Invariant::SingleDispatchInFlight,
         Invariant::RunOnceNotRetried,
         Invariant::KeyedRetryWithinWindow,
--- a/crates/server/tests/server/client_connections.rs
+++ b/crates/server/tests/server/client_connections.rs
@@ -2,8 +2,13 @@
 
 use crate::support::SingleEngine;
 use crate::support::client::{Client, wire_id};
+use crate::support::config::ProgramConfig;
+use crate::support::engines::EngineStandIns;
+use crate::support::event_bus::EventBusStandIn;
+use crate::support::program::{FaultyProgram, Program};
 use crate::support::unread_answers::{UNREAD_ANSWERS, leave_answers_unread};
 use expect_test::expect;
+use pebblevane_syscall_faults::FaultKind;
 use std::fmt::Write as _;
 use std::time::Duration;
 
@@ -127,3 +132,39 @@
     }
     slow.read_to_end().unwrap();
 }
+
+/// A socket tells an error once. Where the check before a job's first byte is the one that is told, the client would wait
+/// for an answer that never comes: its connection ends instead, and nothing is sent to an engine.
+#[test]
+fn a_connection_whose_error_only_the_read_ahead_sees_is_ended() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let FaultyProgram { program, faults } =
+        Program::start_with_faults(ProgramConfig::new(&engines, &bus.address));
+    let mut client = program.connect();
+
+    faults.set_rate(FaultKind::AcceptedPeek, 1.0).unwrap();
+    client.submit(1, "load", 9000);
+    let end = client.read_to_end().map_err(|error| error.kind());
+    faults.set_rate(FaultKind::AcceptedPeek, 0.0).unwrap();
+    let mut other = program.connect();
+    other.submit(2, "load", 9000);
+    let next = engines.next_line();
+
+    assert_eq!((end, next.field(1)), (Ok(0), &*wire_id(2)));
+}
+
+/// Answers that were given before a read failed are still written, then the connection ends.
+#[test]
+fn answers_leave_before_a_connection_whose_read_has_failed_ends() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let FaultyProgram { program, faults } =
+        Program::start_with_faults(ProgramConfig::new(&engines, &bus.address));
+    let mut slow = program.connect_with_small_buffers();
+    leave_answers_unread(&engines, &program, &mut slow, &"x".repeat(5_000));
+
+    faults.set_rate(FaultKind::AcceptedRead, 1.0).unwrap();
+    slow.request_health(9000);
+    let answers = std::iter::repeat_with(|| slow.next_answer()).take_while(|answer| answer != "closed");
+
+    assert_eq!(answers.count(), UNREAD_ANSWERS as usize);
+}
