Soak: hard errors on client connections, clients that ask until the kill, signals in series, crowds

New in what a seed draws: calls on accepted connections fail while these stay open (FailClientCalls); clients that go on to ask on open connections until their gateway has ended; SIGHUP, SIGTERM and SIGINT in series; 150 to 300 clients at one gateway. Failing calls now interrupt Unix sockets and event descriptors too.

The checker (closes.rs) holds: what comes up to 0.7 s after SIGTERM on used connections (0.6 s before) has its answer; later requests have an answer or the connection's end at once, and nothing without an answer was sent to an engine; a broken connection's end comes within its client's time. Each is broken once in tests/checker.rs.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -1,8 +1,10 @@
 //! Checks a play by the seven rules and the terms, from the history alone.
 
+mod closes;
+
 use crate::answers::rows;
 use crate::history::{At, Dispatch, DispatchEnd, Event, GatewayRun, Records, Request, RequestEnd};
-use crate::schedule::{Fault, Group, Schedule, Semantics};
+use crate::schedule::{Group, Schedule, Semantics};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -13,15 +15,10 @@
 const LOST_AFTER: At = 500_000;
 /// An attempt may begin this long after its client has left.
 const LEFT_FOR: At = 100_000;
-/// A request that crosses the end of a used connection within this time is sent again by its client.
-const CROSSING: At = 50_000;
 /// An engine may be told so much more time than the client has left.
 const DEADLINE_SLACK: At = 150_000;
 /// What the bus has counts as told after this time.
 const TOLD_AFTER: At = 7_000_000;
-/// Requests may come this long after SIGTERM: on used connections, and on fresh ones.
-const COMING: At = 600_000;
-const COMING_FRESH: At = 1_500_000;
 /// A dispatch may wait this long for a connection between the gateway's count and the engine's.
 const CONNECTING: At = 300_000;
 /// A gateway is ready within this time.
@@ -82,6 +79,10 @@
     pub crossings: usize,
     /// Requests open at a gateway that was killed.
     pub killed: usize,
+    /// Requests whose connection was broken by a system call that was made to fail.
+    pub broken_connections: usize,
+    /// Requests that came late in a stop and met the end of their connection.
+    pub after_stop: usize,
 }
 
 impl Verdict {
@@ -238,7 +239,7 @@
         };
         match end {
             RequestEnd::Left => return,
-            RequestEnd::Closed { reset } => return self.closed(request, *at, *reset),
+            RequestEnd::Closed { reset } => return self.closed(request, dispatches, *at, *reset),
             RequestEnd::Done { rows } => {
                 self.verdict.done += 1;
                 self.rows(request, dispatches, rows, *at);
@@ -255,37 +256,6 @@
         }
     }
 
-    fn closed(&mut self, request: &Request, at: At, reset: bool) {
-        if self.runs.killed.get(&request.to).is_some_and(|killed| *killed < at + SLACK) {
-            self.verdict.killed += 1;
-            return;
-        }
-        let coming = if request.fresh { COMING_FRESH } else { COMING };
-        let too_late = |stopping: &At| request.sent > stopping + coming;
-        if self.runs.stopping.get(&request.to).is_some_and(too_late) {
-            return;
-        }
-        let crossed = !request.fresh && !reset && at.saturating_sub(request.sent) <= CROSSING + SLACK / 2;
-        if crossed || request.fresh && self.is_flooded(request.to.gateway, request.sent) {
-            self.verdict.crossings += 1;
-            return;
-        }
-        let after = (at - request.sent) / 1000;
-        let how = if reset { "reset" } else { "closed" };
-        self.found(Rule::Lost, at, Some(&request.id), true, format!("{how} with no answer after {after} ms"));
-    }
-
-    /// Whether idle connections hold a gateway's descriptors: new connections may be shut unread then.
-    fn is_flooded(&self, gateway: usize, at: At) -> bool {
-        self.schedule.faults.iter().any(|scheduled| match &scheduled.fault {
-            Fault::IdleFlood { gateways, for_ms, .. } => {
-                let from = scheduled.at_ms * 1000;
-                gateways.contains(&gateway) && (from..from + for_ms * 1000 + 1_000_000).contains(&at)
-            }
-            _ => false,
-        })
-    }
-
     fn rows(&mut self, request: &Request, dispatches: &[&Dispatch], told: &str, at: At) {
         let made =
             |dispatch: &&Dispatch| told == rows(&request.id, dispatch.engine, dispatch.engine_run).concat();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -71,7 +71,7 @@
     }
 
     async fn think(&mut self) {
-        let mean = self.testbed.schedule.think_ms;
+        let mean = self.testbed.schedule.think_ms_of(self.gateway);
         let pause = self.chance.random_range(mean / 3..=mean * 2);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
@@ -91,11 +91,19 @@
         self.testbed.run_of(self.gateway) == to
             && match self.testbed.gateways[self.gateway].phase() {
                 Phase::Ready => true,
-                Phase::Stopping(since) => since.elapsed() < within,
+                Phase::Stopping(since) => {
+                    self.testbed.schedule.stop.steady_clients || since.elapsed() < within
+                }
                 Phase::Starting | Phase::Down => false,
             }
     }
 
+    /// Whether a connection is used to its end: its gateway stops, and clients go on until the kill.
+    fn asks_to_the_end(&self) -> bool {
+        self.testbed.schedule.stop.steady_clients
+            && matches!(self.testbed.gateways[self.gateway].phase(), Phase::Stopping(_))
+    }
+
     async fn one_connection(&mut self) -> std::io::Result<()> {
         if !self.may_connect() {
             tokio::time::sleep(LOOK).await;
@@ -106,7 +114,11 @@
             let rest = self.chance.random_range(50..LONGEST_REST);
             tokio::time::sleep(Duration::from_millis(rest)).await;
         }
-        for number in 0..self.chance.random_range(1..=MOST_REQUESTS) {
+        let planned = self.chance.random_range(1..=MOST_REQUESTS);
+        for number in 0.. {
+            if number >= planned && !self.asks_to_the_end() {
+                break;
+            }
             if connection.has_ended() || !self.may_ask(connection.to, number == 0) {
                 break;
             }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -77,6 +77,10 @@
         Fault::FailCalls { gateways, share, for_ms } => {
             fail_calls(testbed, &gateways, share, ms(for_ms)).await;
         }
+        Fault::FailClientCalls { gateways, share, for_ms } => {
+            let kinds = [FaultKind::AcceptedPeek, FaultKind::AcceptedRead, FaultKind::AcceptedWrite];
+            fail_for(testbed, &gateways, &kinds.map(|kind| (kind, share)), ms(for_ms)).await;
+        }
         Fault::ClientsLeave { gateways } | Fault::BadClients { gateways, for_ms: 0 } => {
             rush(testbed, &gateways, ms(100)).await;
         }
@@ -182,7 +186,7 @@
     for (position, gateway) in gateways.into_iter().enumerate() {
         let testbed = testbed.clone();
         restarts.push(tokio::spawn(async move {
-            if testbed.is_over() || testbed.gateways[gateway].phase() != Phase::Ready {
+            if testbed.is_ending() || testbed.gateways[gateway].phase() != Phase::Ready {
                 return;
             }
             if kill {
@@ -190,7 +194,7 @@
             } else {
                 testbed.gateways[gateway].stop(&testbed).await;
             }
-            if !testbed.is_over() {
+            if !testbed.is_ending() {
                 let _ = testbed.gateways[gateway].start(&testbed, position % 2 == 1);
             }
         }));
@@ -212,6 +216,7 @@
         (FaultKind::Break, share / 20.0),
         (FaultKind::Thread, share / 2.0),
         (FaultKind::Interrupt, share),
+        (FaultKind::InterruptLocal, share),
     ];
     fail_for(testbed, gateways, &rates, time).await;
 }
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The processes under test: their configurations, signals, logs and control files.
 
 use crate::history::{Event, GatewayRun};
+use crate::schedule::{Schedule, StopSignal};
 use crate::testbed::{Testbed, link_address, locked};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -18,8 +19,9 @@
 /// How the deploy file starts the program: a SIGHUP that comes before the program listens to signals is ignored, as the
 /// configuration is still to be read then; by itself it would end the process.
 const RUN: &str = "trap '' HUP; exec \"$0\"";
-/// From SIGTERM to SIGKILL: the longest deadline, and what the operators allow beside it.
-const STOP_WITHIN: Duration = Duration::from_millis(3000 + 700);
+/// Descriptors of a gateway, and of one with a crowd.
+const DESCRIPTORS: usize = 320;
+const DESCRIPTORS_OF_CROWD: usize = 1024;
 /// A start that takes longer has failed.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const LOOK: Duration = Duration::from_millis(20);
@@ -77,7 +79,7 @@
         json!({
             "name": format!("g{}", self.index), "listen": link_address(self.index, self.port).to_string(),
             "seed": format!("{:016x}", schedule.seed.wrapping_mul(1000) + self.index as u64),
-            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 320},
+            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": self.descriptors(schedule)},
             "bus": link_address(self.index, testbed.bus.port()).to_string(),
             "known": testbed.bus.known(testbed, run, stale), "settings": schedule.settings(self.index),
         })
@@ -199,21 +201,33 @@
         Ok(answer[5] == 0xc3)
     }
 
+    fn descriptors(&self, schedule: &Schedule) -> usize {
+        let is_crowded = schedule.clients_of(self.index) > schedule.clients_per_gateway;
+        if is_crowded { DESCRIPTORS_OF_CROWD } else { DESCRIPTORS }
+    }
+
     /// A planned stop; returns when the process has ended, which is forced in the end.
     pub async fn stop(&self, testbed: &Testbed) {
         let run = testbed.run_of(self.index);
-        let since = Instant::now();
-        {
-            let mut state = locked(&self.state);
-            if state.pid.is_none() || matches!(state.phase, Phase::Stopping(_)) {
-                return;
-            }
-            state.phase = Phase::Stopping(since);
-        }
-        testbed.history.event(Event::GatewayStopping { run });
-        self.signal(Signal::SIGTERM);
+        let begun = Instant::now();
+        let mut told = None;
+        let mut signals = testbed.schedule.stop.signals.iter().peekable();
         while self.phase() != Phase::Down {
-            if since.elapsed() > STOP_WITHIN {
+            while let Some(due) = signals.next_if(|next| begun.elapsed() >= Duration::from_millis(next.at_ms))
+            {
+                if due.signal != StopSignal::Reload && told.is_none() {
+                    if !self.begin_stop(testbed, run) {
+                        return;
+                    }
+                    told = Some(Instant::now());
+                }
+                self.signal(match due.signal {
+                    StopSignal::Reload => Signal::SIGHUP,
+                    StopSignal::Terminate => Signal::SIGTERM,
+                    StopSignal::Interrupt => Signal::SIGINT,
+                });
+            }
+            if told.is_some_and(|told| told.elapsed() > testbed.schedule.kill_after()) {
                 // The supervisor of a real fleet would do the same; whatever is unanswered then is lost.
                 self.signal(Signal::SIGKILL);
             }
@@ -221,6 +235,18 @@
         }
     }
 
+    /// Enters that the process is told to stop; false if it has been told before, or has ended.
+    fn begin_stop(&self, testbed: &Testbed, run: GatewayRun) -> bool {
+        let mut state = locked(&self.state);
+        if state.pid.is_none() || matches!(state.phase, Phase::Stopping(_)) {
+            return false;
+        }
+        state.phase = Phase::Stopping(Instant::now());
+        drop(state);
+        testbed.history.event(Event::GatewayStopping { run });
+        true
+    }
+
     pub async fn kill(&self, testbed: &Testbed) {
         testbed.history.event(Event::GatewayKilled { run: testbed.run_of(self.index) });
         self.signal(Signal::SIGKILL);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -22,7 +22,8 @@
     let end = if broken == 0 { "passed".to_string() } else { format!("FAILED, {broken} violations") };
     let unsure = if unsure > 0 { format!(", {unsure} unsure as the test lagged") } else { String::new() };
     format!(
-        "seed {}: {end}{unsure} ({} requests: {} done, {} busy, {} failed; {} dispatches; {} crossings; {} at killed gateways)",
+        "seed {}: {end}{unsure} ({} requests: {} done, {} busy, {} failed; {} dispatches; {} crossings; {} at killed gateways; \
+         {} on broken connections; {} late in a stop)",
         played.schedule.seed,
         verdict.requests,
         verdict.done,
@@ -30,7 +31,9 @@
         verdict.failed,
         verdict.dispatches,
         verdict.crossings,
-        verdict.killed
+        verdict.killed,
+        verdict.broken_connections,
+        verdict.after_stop
     )
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,24 +72,28 @@
 }
 
 fn start_clients(testbed: &Arc<Testbed>) -> Vec<JoinHandle<()>> {
-    let of = |gateway| (0..testbed.schedule.clients_per_gateway).map(move |number| (gateway, number));
+    let of = |gateway| (0..testbed.schedule.clients_of(gateway)).map(move |number| (gateway, number));
     let all = (0..testbed.schedule.gateways).flat_map(of);
     all.map(|(gateway, number)| tokio::spawn(Client::new(testbed.clone(), gateway, number).run())).collect()
 }
 
 /// Stops all gateways under traffic, and waits for their ends and for what clients still wait for.
 async fn end(testbed: &Arc<Testbed>, clients: Vec<JoinHandle<()>>, faults: Vec<JoinHandle<()>>) {
+    testbed.stopping.store(true, SeqCst);
     let stops: Vec<JoinHandle<()>> = (0..testbed.schedule.gateways)
         .map(|gateway| {
             let testbed = testbed.clone();
             tokio::spawn(async move { testbed.gateways[gateway].stop(&testbed).await })
         })
         .collect();
-    tokio::time::sleep(AFTER_STOP).await;
-    testbed.over.store(true, SeqCst);
+    if !testbed.schedule.stop.steady_clients {
+        tokio::time::sleep(AFTER_STOP).await;
+        testbed.over.store(true, SeqCst);
+    }
     for stop in stops {
         let _ = stop.await;
     }
+    testbed.over.store(true, SeqCst);
     // A restart under way may have started one more process meanwhile.
     for fault in faults {
         let _ = tokio::time::timeout(CLIENTS_END, fault).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,6 +14,9 @@
 const LAST_FAULT: f64 = 0.4;
 /// Some plays are this much longer, so that connections rest until they are closed.
 const LONGER: f64 = 1.7;
+/// A stop counts the longest wait of a client as no longer than this, and allows this much more before the kill.
+const LONGEST_PATIENCE_MS: u64 = 3000;
+const KILL_MARGIN_MS: u64 = 700;
 
 /// What the settings say of repeating a class's jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,6 +143,12 @@
         share: f64,
         for_ms: u64,
     },
+    /// Calls on connections of clients fail, which stay open.
+    FailClientCalls {
+        gateways: Vec<usize>,
+        share: f64,
+        for_ms: u64,
+    },
     ClientsLeave {
         gateways: Vec<usize>,
     },
@@ -162,6 +171,37 @@
     pub fault: Fault,
 }
 
+/// A signal that a gateway gets while it is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StopSignal {
+    Reload,
+    Terminate,
+    Interrupt,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScheduledSignal {
+    /// After the first one.
+    pub at_ms: u64,
+    pub signal: StopSignal,
+}
+
+/// How gateways are stopped, and what their clients do meanwhile.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StopPlan {
+    /// Clients go on to ask on open connections until the process has ended.
+    pub steady_clients: bool,
+    /// In the order of time. One of them terminates.
+    pub signals: Vec<ScheduledSignal>,
+}
+
+impl Default for StopPlan {
+    fn default() -> StopPlan {
+        let signals = vec![ScheduledSignal { at_ms: 0, signal: StopSignal::Terminate }];
+        StopPlan { steady_clients: false, signals }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Schedule {
     pub seed: u64,
@@ -178,6 +218,11 @@
     /// Pause between the jobs of one client (ms).
     pub think_ms: u64,
     pub clients_per_gateway: usize,
+    /// Clients of the first gateway, where that has a crowd.
+    #[serde(default)]
+    pub crowd: Option<usize>,
+    #[serde(default)]
+    pub stop: StopPlan,
     /// Files of schedules call them so.
     #[serde(rename = "schedule")]
     pub faults: Vec<ScheduledFault>,
@@ -224,6 +269,8 @@
             traffic_until_ms: (seconds * 1000.0) as u64,
             think_ms: if few { chance.random_range(60..=150) } else { chance.random_range(150..=500) },
             clients_per_gateway: chance.random_range(2..=4),
+            crowd: chance.random_bool(0.15).then(|| chance.random_range(150..=300)),
+            stop: Schedule::draw_stop(&mut chance),
             faults: vec![],
         };
         let count = chance.random_range(3..=8);
@@ -245,11 +292,46 @@
         schedule
     }
 
+    fn draw_stop(chance: &mut ChaCha8Rng) -> StopPlan {
+        let mut signals = vec![];
+        let terminate_at = if chance.random_bool(0.4) {
+            signals.push(ScheduledSignal { at_ms: 0, signal: StopSignal::Reload });
+            chance.random_range(0..=60)
+        } else {
+            0
+        };
+        signals.push(ScheduledSignal { at_ms: terminate_at, signal: StopSignal::Terminate });
+        for _ in 0..chance.random_range(0..=4) {
+            let all = [StopSignal::Reload, StopSignal::Terminate, StopSignal::Interrupt];
+            let at_ms = terminate_at + chance.random_range(0..=2500);
+            signals.push(ScheduledSignal { at_ms, signal: all[chance.random_range(0..all.len())] });
+        }
+        signals.sort_by_key(|scheduled| scheduled.at_ms);
+        StopPlan { steady_clients: chance.random_bool(0.6), signals }
+    }
+
+    /// Clients of a gateway.
+    pub fn clients_of(&self, gateway: usize) -> usize {
+        self.crowd.filter(|_| gateway == 0).unwrap_or(self.clients_per_gateway)
+    }
+
+    /// Pause between the jobs of one client of a gateway (ms): a crowd asks about twice as much as the clients elsewhere.
+    pub fn think_ms_of(&self, gateway: usize) -> u64 {
+        let factor = self.clients_of(gateway) / self.clients_per_gateway;
+        self.think_ms * (factor as u64 / 2).max(1)
+    }
+
+    /// When a gateway that has not ended is killed, after the signal that terminates it: the earliest that is allowed.
+    pub fn kill_after(&self) -> Duration {
+        let longest_ms = self.classes.iter().map(|class| class.patience_ms[1]).max().unwrap_or(0);
+        Duration::from_millis(longest_ms.min(LONGEST_PATIENCE_MS) + KILL_MARGIN_MS)
+    }
+
     fn draw_fault(&self, chance: &mut ChaCha8Rng) -> Fault {
         let engines = Schedule::some(chance, self.engines, 0.1, 0.45);
         let gateways = Schedule::some(chance, self.gateways, 0.1, 0.6);
         let for_ms = chance.random_range(3..=30) * 100;
-        match chance.random_range(0..22) {
+        match chance.random_range(0..24) {
             0 => Fault::DrainEngines { engines },
             1 => Fault::ReplaceEngines { engines },
             2 => Fault::RestartEngines { engines, down_ms: chance.random_range(0..=800) },
@@ -273,6 +355,7 @@
             18 => Fault::ClientsLeave { gateways },
             19 => Fault::TakeAddresses { engines },
             20 => Fault::SlowAccepts { engines, for_ms },
+            21 | 22 => Fault::FailClientCalls { gateways, share: chance.random_range(0.002..0.03), for_ms },
             _ if chance.random_bool(0.5) => {
                 Fault::IdleFlood { gateways, connections: chance.random_range(5..=120), for_ms }
             }
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -28,6 +28,8 @@
     pub stamp_offset_us: AtomicI64,
     /// Traffic has ended.
     pub over: AtomicBool,
+    /// All gateways have been told to stop, for good.
+    pub stopping: AtomicBool,
 }
 
 pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -63,6 +65,7 @@
             next_port: AtomicU16::new(port + 1),
             stamp_offset_us: AtomicI64::new(0),
             over: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
         }
     }
 
@@ -74,6 +77,11 @@
         self.over.load(SeqCst)
     }
 
+    /// Whether no gateway is to be started again: traffic is over, or goes on only to the gateways' ends.
+    pub fn is_ending(&self) -> bool {
+        self.is_over() || self.schedule.stop.steady_clients && self.stopping.load(SeqCst)
+    }
+
     pub fn engine(&self, index: usize) -> Option<Arc<Engine>> {
         locked(&self.engines).get(index).cloned()
     }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -4,7 +4,7 @@
 #[path = "../src/answers.rs"]
 mod answers;
 #[allow(dead_code)]
-#[path = "../src/checker.rs"]
+#[path = "../src/checker/mod.rs"]
 mod checker;
 #[allow(dead_code)]
 #[path = "../src/history.rs"]
@@ -289,3 +289,41 @@
     "]]
     .assert_eq(&trace);
 }
+
+#[test]
+fn ends_of_connections_without_an_answer_are_checked() {
+    let closed = |sent_ms: At, closed_ms: At| {
+        let mut request = request(LOOKUP, at(closed_ms, RequestEnd::Closed { reset: false }));
+        (request.sent, request.fresh) = (sent_ms * MS, false);
+        request
+    };
+    let stopping = (1_000 * MS, Event::GatewayStopping { run: GATEWAY });
+    let stopped =
+        |request, dispatches| play(request, dispatches).with(|play| play.events.push(stopping.clone()));
+    let mut breaks = schedule();
+    let fault = Fault::FailClientCalls { gateways: vec![0], share: 0.1, for_ms: 500 };
+    breaks.faults.push(schedule::ScheduledFault { at_ms: 900, fault });
+    let broken = |request| Play { schedule: Some(breaks.clone()), ..play(request, vec![]) };
+    let sent = vec![dispatch(LOOKUP, 0, 1810, Some((1850, DispatchEnd::Stopped)))];
+
+    let trace = describe([
+        ("early in a stop", stopped(closed(1650, 1950), vec![])),
+        ("late in a stop, at once", stopped(closed(1800, 1810), vec![])),
+        ("late in a stop, after a silence", stopped(closed(1800, 2050), vec![])),
+        ("late in a stop, but sent", stopped(closed(1800, 1850), sent)),
+        ("broken connection", broken(closed(1000, 1800))),
+        ("broken connection, its end past the client's wait", broken(closed(1000, 2200))),
+        ("after the calls have failed", broken(closed(2600, 2900))),
+    ]);
+
+    expect![[r"
+        early in a stop: Lost
+        late in a stop, at once: 
+        late in a stop, after a silence: Lost
+        late in a stop, but sent: Lost
+        broken connection: 
+        broken connection, its end past the client's wait: Lost
+        after the calls have failed: Lost
+    "]]
+    .assert_eq(&trace);
+}
