The configuration is read again only while a failed reload is pending

After an hour without a signal the main thread read and applied the configuration, a file in preparation included: the end of its longest wait counted as a retry. The reloader now reads the file itself and retries only after a failure.

--- a/crates/server/src/server/mod.rs
+++ b/crates/server/src/server/mod.rs
@@ -18,7 +18,7 @@
 
 /// Signals that may be queued.
 const SIGNAL_QUEUE: usize = 16;
-/// The longest wait for a signal, after which the configuration is read again.
+/// The longest wait for a signal.
 const MAX_SIGNAL_WAIT: Duration = Duration::from_hours(1);
 
 /// Reads an environment variable; `None` if it is not set or not valid Unicode.
@@ -66,12 +66,12 @@
         let wait = reloader.retry_after().unwrap_or(MAX_SIGNAL_WAIT);
         select! {
             recv(signals) -> signal => match signal {
-                Ok(SIGHUP) => reloader.reload(Config::read(environment)),
+                Ok(SIGHUP) => reloader.reload(),
                 Ok(_) => service.begin_shutdown(longest_client_timeout),
                 Err(_) => return Err(ServerError::SignalThreadEnded),
             },
             recv(service.clients_closed) -> _ => return Ok(()),
-            default(wait) => reloader.retry(Config::read(environment)),
+            default(wait) => reloader.retry(),
         }
     }
 }
--- a/crates/server/src/server/reload.rs
+++ b/crates/server/src/server/reload.rs
@@ -4,7 +4,8 @@
 //! list is ignored, since the event numbers continue. An invalid file is read again for a while, since it may be
 //! incomplete because it is still being written.
 
-use crate::config::{Config, ConfigError};
+use super::environment;
+use crate::config::Config;
 use crate::discovery::EventBusFollower;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -39,16 +40,23 @@
         self.failure.as_ref().map(|_| RETRY_INTERVAL)
     }
 
-    /// Applies the configuration that was read on a reload request.
-    pub fn reload(&mut self, result: Result<Config, ConfigError>) {
+    /// Reads the configuration on a reload request, and applies it.
+    pub fn reload(&mut self) {
         self.failure = None;
-        self.retry(result);
+        self.read();
     }
 
-    /// Applies the configuration that was read for a reload that has failed before. An invalid configuration changes
-    /// nothing.
-    pub fn retry(&mut self, result: Result<Config, ConfigError>) {
-        match result {
+    /// Reads the configuration again if the last reload failed. Without a request nothing is read: the file may be in
+    /// preparation.
+    pub fn retry(&mut self) {
+        if self.failure.is_some() {
+            self.read();
+        }
+    }
+
+    /// Applies the configuration. An invalid one changes nothing.
+    fn read(&mut self) {
+        match Config::read(environment) {
             Ok(config) => {
                 self.failure = None;
                 self.apply(&config);
--- a/crates/server/tests/server/configuration_reload.rs
+++ b/crates/server/tests/server/configuration_reload.rs
@@ -7,6 +7,7 @@
 use expect_test::expect;
 use serde_json::{Value as Json, json};
 use std::fmt::Write as _;
+use std::time::Duration;
 
 /// The program ends at once, with one line that says what is wrong.
 #[test]
@@ -120,3 +121,21 @@
     last.send_update(2, &[endpoint("e0", &engines.addresses[0], TERMINATING)]);
     program.wait_for_log("endpoint list changed event=2 entries=1 running=0");
 }
+
+/// A file that is being prepared is not applied before SIGHUP, however long that takes: the program's main thread wakes
+/// many times meanwhile.
+#[test]
+fn a_changed_configuration_is_not_applied_without_a_signal() {
+    let (engines, bus, new_bus) =
+        (EngineStandIns::start(1), EventBusStandIn::start(), EventBusStandIn::start());
+    let program = Program::start(&engines, &bus);
+
+    let good = std::fs::read_to_string(&program.config_file).unwrap();
+    std::fs::write(&program.config_file, good.replace(&bus.address, &new_bus.address)).unwrap();
+    std::thread::sleep(Duration::from_millis(400));
+    std::fs::write(&program.config_file, &good).unwrap();
+    program.signal("HUP");
+    let first = program.wait_for_log("configuration reloaded");
+
+    assert!(first.contains(&bus.address), "{first}");
+}
