A stop is heard though the wake-up of its signal is lost

A gateway that was told to stop served on until it was killed. The signal's handler wakes a thread over a pair of sockets; where that write is interrupted the signal library drops the error, and the thread waits on.

Each handler now sets a flag of our own before the wake-up, and the main thread looks at the flags after each wake-up and every 50 ms. The flag alone counts.

--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,9 +3,7 @@
 use pebblevane_server::config::Config;
 use pebblevane_server::lifecycle::clock;
 use pebblevane_server::lifecycle::startup::retry_transient_errors;
-use pebblevane_server::server::{self, ServerError};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
+use pebblevane_server::server::{self, ServerError, SignalHandlers};
 use std::process::ExitCode;
 
 /// The variable of the environment that holds the log level.
@@ -27,8 +25,7 @@
 
 fn run() -> Result<(), ServerError> {
     // The signal handlers are installed first, so that no signal terminates the process abruptly.
-    let signals =
-        retry_transient_errors(|| Signals::new([SIGTERM, SIGINT, SIGHUP])).map_err(ServerError::Signals)?;
+    let signals = retry_transient_errors(SignalHandlers::install).map_err(ServerError::Signals)?;
     let config = Config::read(server::environment)?;
     server::run(signals, config)
 }
--- a/crates/server/src/server/reload.rs
+++ b/crates/server/src/server/reload.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 const RETRY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Applies configurations that are read while the program runs.
@@ -35,11 +34,6 @@
         ConfigReloader { config, event_bus, failure: None }
     }
 
-    /// The pause before the configuration is to be read again, if the last reload failed.
-    pub fn retry_after(&self) -> Option<Duration> {
-        self.failure.as_ref().map(|_| RETRY_INTERVAL)
-    }
-
     /// Reads the configuration on a reload request, and applies it.
     pub fn reload(&mut self) {
         self.failure = None;
--- a/crates/server/tests/server/shutdown.rs
+++ b/crates/server/tests/server/shutdown.rs
@@ -4,9 +4,10 @@
 use crate::support::config::ProgramConfig;
 use crate::support::engines::EngineStandIns;
 use crate::support::event_bus::EventBusStandIn;
-use crate::support::program::{PreparedCommand, Program, send_signal};
+use crate::support::program::{FaultyProgram, PreparedCommand, Program, send_signal};
 use crate::support::unread_answers::{UNREAD_ANSWERS, leave_answers_unread};
 use expect_test::expect;
+use pebblevane_syscall_faults::FaultKind;
 use std::fmt::Write as _;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -263,3 +264,21 @@
         logged.join(", ")
     ));
 }
+
+/// The handler of a signal wakes a thread over a socket, and that call may be interrupted. A stop that is told then is
+/// heard all the same.
+#[test]
+fn a_stop_is_heard_though_its_wake_up_is_lost() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let FaultyProgram { mut program, faults } =
+        Program::start_with_faults(ProgramConfig::new(&engines, &bus.address));
+
+    faults.set_rate(FaultKind::InterruptLocal, 1.0).unwrap();
+    program.signal("TERM");
+    // The handler has run by then.
+    std::thread::sleep(Duration::from_millis(100));
+    faults.set_rate(FaultKind::InterruptLocal, 0.0).unwrap();
+
+    program.wait_for_log("graceful shutdown started");
+    assert!(program.wait_for_exit().success());
+}
