An interrupted wake-up of the engines' reader is repeated

Jobs failed though their engine had accepted a connection, and the connection stayed open with no owner: an interrupted write to the reader's event descriptor counted as a connection that could not be set up, while the reader had it already.

The wake-up is repeated, in one place for both threads that are woken so; where it fails for another reason the connection is shut down. That a wake-up that fails for another reason leaves no connection behind is held by no test.

--- a/crates/server/src/engine/pool/connecting.rs
+++ b/crates/server/src/engine/pool/connecting.rs
@@ -9,6 +9,7 @@
 use crate::engine::ids::ConnectionId;
 use crate::engine::socket_poller::PolledConnection;
 use std::io;
+use std::net::Shutdown;
 use std::sync::Arc;
 
 impl EnginePool {
@@ -65,7 +66,11 @@
         let id = ConnectionId(self.last_connection.0 + 1);
         self.last_connection = id;
         let input = Arc::new(ConnectionInput::new(stream.clone()));
-        context.poller.add(self.polled_connection(id, input.clone(), context))?;
+        if let Err(e) = context.poller.add(self.polled_connection(id, input.clone(), context)) {
+            // The connection may have ended already.
+            let _ = stream.shutdown(Shutdown::Both);
+            return Err(e);
+        }
         let opened_at = (context.now)();
         let connection = EngineConnection::new(stream, input, opened_at, dialed.permit);
         self.connections.insert(id, connection);
--- a/crates/server/src/engine/socket_poller.rs
+++ b/crates/server/src/engine/socket_poller.rs
@@ -5,6 +5,7 @@
 use crate::engine::connection_input::{ConnectionInput, ReadProgress, ReadResult, ReceivedMessage};
 use crate::lifecycle::startup::retry_transient_errors;
 use crate::lifecycle::threads::{STACK_BYTES, spawn_required};
+use crate::lifecycle::wakeup::wake;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -87,11 +88,12 @@
     /// Reads this connection from now on.
     ///
     /// # Errors
-    /// If too many new connections are queued, or the thread can't be woken.
+    /// If too many new connections are queued, or the thread can't be woken. The thread may still read the connection
+    /// later, so the caller has to shut it down.
     pub(crate) fn add(&self, connection: PolledConnection) -> io::Result<()> {
         let added = self.new_connections.try_send(connection);
         added.map_err(|_| io::Error::other("too many new connections"))?;
-        self.waker.wake()
+        wake(&self.waker)
     }
 }
 
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -6,3 +6,4 @@
 pub mod sync;
 pub mod threads;
 pub mod transient;
+pub mod wakeup;
--- a/crates/server/src/session/connection_failures.rs
+++ b/crates/server/src/session/connection_failures.rs
@@ -5,8 +5,9 @@
 //! do not wait for answers that never come.
 
 use crate::lifecycle::sync::lock;
+use crate::lifecycle::wakeup::wake;
 use mio::Waker;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::sync::Mutex;
 use thiserror::Error;
 
@@ -52,7 +53,7 @@
     pub(super) fn report(&self, connection: ConnectionId, error: ConnectionError) {
         lock(&self.pending).push(ConnectionFailure { connection, error });
         // If the system refuses the wake-up, the owner finds the failure after its longest wait for events.
-        while self.waker.wake().is_err_and(|e| e.kind() == ErrorKind::Interrupted) {}
+        let _ = wake(&self.waker);
     }
 
     /// Takes the failures that were reported since this was last called.
--- a/crates/server/tests/server/engine_connections.rs
+++ b/crates/server/tests/server/engine_connections.rs
@@ -253,3 +253,27 @@
         seen = next;
     }
 }
+
+/// Each new connection wakes the thread that reads them all, and that call may be interrupted. The connection is used all
+/// the same.
+#[test]
+fn a_connection_is_used_though_the_wake_up_of_its_reader_is_interrupted() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let FaultyProgram { program, faults } =
+        Program::start_with_faults(ProgramConfig::new(&engines, &bus.address));
+    let mut client = program.connect();
+
+    faults.set_rate(FaultKind::InterruptLocal, 0.95).unwrap();
+    let mut done = 0;
+    for message in 1..=8 {
+        client.submit(message, "load", 9000);
+        let line = engines.next_line();
+        // The next job needs a connection of its own.
+        client.submit(100 + message, "load", 9000);
+        engines.complete(100 + message);
+        line.reply("HIT", "-", "");
+        done += (0..2).filter(|_| client.next_answer().ends_with(": done ")).count();
+    }
+
+    assert_eq!(done, 16);
+}
