Endpoint updates are applied after their lock is released

The engines' thread held the lock while it applied them; a health check that ends there may wait for the controller's queue, and the controller may wait for the lock: a gateway that answers nothing. The updates are now taken under the lock and applied without it. The new test, whose callback waits for another thread to record an update, failed in 3 of 3 before and passes now.

--- a/crates/server/src/engine/endpoint_updates.rs
+++ b/crates/server/src/engine/endpoint_updates.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 
 /// An engine that was added to the endpoint list.
 pub(crate) struct AddedEndpoint {
@@ -32,7 +32,7 @@
 }
 
 /// The pending updates of all engines. There is one entry for each engine, so that recording an update needs no bounded
-/// queue: no update is lost, and recording one waits only while the `engines` thread applies earlier ones.
+/// queue: no update is lost, and recording one waits for no other thread's work.
 #[derive(Default)]
 pub(crate) struct EndpointUpdates {
     pending: Mutex<BTreeMap<PoolId, EndpointUpdate>>,
@@ -43,7 +43,7 @@
 impl EndpointUpdates {
     /// Records a change of this engine.
     pub(crate) fn record(&self, pool: PoolId, change: impl FnOnce(&mut EndpointUpdate)) {
-        change(self.pending().entry(pool).or_default());
+        change(lock(&self.pending).entry(pool).or_default());
         self.changed.store(true, SeqCst);
     }
 
@@ -52,8 +52,9 @@
         self.changed.swap(false, SeqCst)
     }
 
-    /// Locks the updates that are still to be applied.
-    pub(crate) fn pending(&self) -> MutexGuard<'_, BTreeMap<PoolId, EndpointUpdate>> {
-        lock(&self.pending)
+    /// Takes the updates that are still to be applied. The lock is released before the first is applied: that may call
+    /// back with the result of a health check, which may wait for a thread that records an update.
+    pub(crate) fn take(&self) -> BTreeMap<PoolId, EndpointUpdate> {
+        std::mem::take(&mut *lock(&self.pending))
     }
 }
--- a/crates/server/src/engine/registry_loop.rs
+++ b/crates/server/src/engine/registry_loop.rs
@@ -73,9 +73,7 @@
         if !self.updates.take_changed() {
             return;
         }
-        let updates = self.updates.clone();
-        // The lock is held until all are applied.
-        for (pool, update) in std::mem::take(&mut *updates.pending()) {
+        for (pool, update) in self.updates.take() {
             self.apply_update(pool, update);
         }
     }
--- a/crates/server/tests/server/connection_pool.rs
+++ b/crates/server/tests/server/connection_pool.rs
@@ -157,3 +157,28 @@
 
     expect!["Ok(Lost { status: Unreachable, engine_reachable: true })"].assert_eq(&format!("{event:?}"));
 }
+
+/// The result of a health check may have to wait for the controller, and the controller may be recording a change of the
+/// endpoint list just then. Neither waits for the other.
+#[test]
+fn a_change_of_the_endpoint_list_is_recorded_while_another_is_applied() {
+    let pool = start_pool();
+    let unaccepting = UnacceptingEngine::start();
+    let engine = |name: &str| EngineHandle::new(&pool, name, unaccepting.address.parse().unwrap());
+    let (checked, other) = (engine("checked"), engine("other"));
+    let (recorded, was_recorded) = crossbeam_channel::bounded(1);
+
+    // The check waits for a connection until its engine drains, so that its callback runs while that is applied.
+    let callback = move |_| {
+        let (done, is_done) = crossbeam_channel::bounded(1);
+        std::thread::spawn(move || {
+            other.engine_restarted(clock::now());
+            let _ = done.send(());
+        });
+        let _ = recorded.send(is_done.recv_timeout(Duration::from_secs(3)).is_ok());
+    };
+    assert!(checked.check_health(Box::new(callback)));
+    checked.engine_removed();
+
+    assert_eq!(was_recorded.recv_timeout(Duration::from_secs(20)), Ok(true));
+}
