A late dispatch that was sent meanwhile is not failed

A pool collects the requests that have waited too long and handles one after the other; to handle one may send others, which were then failed as if their connection were lost though they had just been sent: a job that must not run twice failed with its engine up. Each request is looked at again when its turn comes.

--- a/crates/server/src/engine/pool/in_flight.rs
+++ b/crates/server/src/engine/pool/in_flight.rs
@@ -65,6 +65,11 @@
         (self.connection.is_none() || is_health_check).then_some(self.due)
     }
 
+    /// Whether it has timed out in the pool.
+    pub(super) fn has_timed_out(&self, now: Instant) -> bool {
+        self.deadline().is_some_and(|deadline| deadline <= now)
+    }
+
     /// Records that it is about to be written to this connection.
     pub(super) fn begin_on(&mut self, connection: ConnectionId, dial_timeout: Duration) {
         self.sent_at = Instant::now();
--- a/crates/server/src/engine/pool/mod.rs
+++ b/crates/server/src/engine/pool/mod.rs
@@ -17,6 +17,8 @@
 mod results;
 mod reuse_limit;
 mod sending;
+#[cfg(test)]
+mod tests;
 mod timeouts;
 
 use crate::config::connection_settings::ConnectionSettings;
--- a/crates/server/src/engine/pool/timeouts.rs
+++ b/crates/server/src/engine/pool/timeouts.rs
@@ -21,8 +21,7 @@
 
     /// Handles the requests that have timed out.
     pub(crate) fn handle_timeouts(&mut self, now: Instant, context: &PoolContext) {
-        let has_timed_out = |deadline: Instant| deadline <= now;
-        let late = self.in_flight.iter().filter(|(_, request)| request.deadline().is_some_and(has_timed_out));
+        let late = self.in_flight.iter().filter(|(_, request)| request.has_timed_out(now));
         for id in late.map(|(id, _)| *id).collect::<Vec<RequestId>>() {
             self.handle_timeout(id, now, context);
         }
@@ -30,6 +29,10 @@
 
     fn handle_timeout(&mut self, id: RequestId, now: Instant, context: &PoolContext) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
+        // To handle another one may have sent it meanwhile.
+        if !request.has_timed_out(now) {
+            return;
+        }
         if request.connection.is_none() && !request.may_share {
             // Connecting takes long, so the request shares a connection that exists.
             request.may_share = true;
