A job that is not ordered is not rejected for the queue of its key

Whether a job leaves its key's queue was asked of every waiting job with a key, also of one whose class is not ordered: it is in no queue, so the schedule made of the queue lacks it and it was rejected with engines free. The question is now asked of the ordering key.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -160,7 +160,8 @@
 /// Whether a job whose turn it is leaves it to those behind it.
 fn leaves_queue(state: &ControllerState, id: JobId) -> bool {
     let job = &state.jobs[&id];
-    let key = job.request.key.filter(|_| job.dispatch_count == 0 && rules::may_dispatch(state, id));
+    let is_its_turn = job.dispatch_count == 0 && rules::may_dispatch(state, id);
+    let key = state.ordering_key(job).filter(|_| is_its_turn);
     let queue = key.and_then(|key| state.key_order.contended_queue(key));
     queue.is_some_and(|queue| key_order::leaves_queue(id, queue, &state.jobs, &state.classes, state.now))
 }
--- a/tests/decisions/jobs.rs
+++ b/tests/decisions/jobs.rs
@@ -79,6 +79,10 @@
     pub fn cost_ms(self, cost: f64) -> JobSpec {
         JobSpec { cost_ms: Some(cost), ..self }
     }
+    /// The key of the job, which orders it only if its class is ordered.
+    pub fn key(self, key: u64) -> JobSpec {
+        JobSpec { key: Some(key), ..self }
+    }
     /// The client estimates no work.
     pub fn without_cost(self) -> JobSpec {
         JobSpec { cost_ms: None, ..self }
--- a/tests/decisions/key_order.rs
+++ b/tests/decisions/key_order.rs
@@ -1,6 +1,6 @@
 //! Rule 5: jobs of one key run one at a time, in their order.
 
-use crate::harness::{ControllerHarness, attempt};
+use crate::harness::{ControllerHarness, attempt, running};
 use crate::jobs::{ORDERED, lookup, ordered};
 use expect_test::expect;
 use pebblevane::interface::{DispatchStatus, JobId};
@@ -94,3 +94,25 @@
 
     expect!["sent 31"].assert_eq(&format!("sent {sent}"));
 }
+
+/// A job whose class is not ordered is in no key's queue, so it can't leave one: the jobs that queue on its key don't have
+/// it rejected.
+#[test]
+fn a_job_that_is_not_ordered_is_not_rejected_for_the_queue_of_its_key() {
+    let mut harness = ControllerHarness::builder().build();
+
+    harness.submit(ordered(11, 5));
+    harness.submit(ordered(11, 5));
+    harness.submit(lookup(11).key(5));
+    harness.submit(lookup(11));
+    harness.replace_endpoints(vec![running(0)]);
+
+    harness.expect_trace(&expect![[r"
+            0     list []:
+            0     take 0:
+            0     take 1:
+            0     take 2:
+            0     take 3:
+            0     list [0 Running]: send 0 to 0, send 2 to 0, send 3 to 0
+        "]]);
+}
