--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -28,6 +28,8 @@
 const LONGEST_REST: u64 = 3500;
 /// Some rest until the gateway ends the connection (ms), and ask in just that moment.
 const REST_TO_THE_END: std::ops::Range<u64> = 4900..5300;
+/// Steady clients ask again after this pause (ms) while their gateway stops, so that some cross the end.
+const BETWEEN_LAST_REQUESTS: std::ops::Range<u64> = 1..80;
 /// Requests with next to no time left (ms).
 const SHORT_PATIENCE: std::ops::Range<u64> = 1..60;
 
@@ -142,7 +144,9 @@
                 _ => {}
             }
             connection.answered(&asked).await;
-            if self.chance.random_bool(0.05) {
+            if self.asks_to_the_end() {
+                self.pause(BETWEEN_LAST_REQUESTS).await;
+            } else if self.chance.random_bool(0.05) {
                 self.pause(REST_TO_THE_END).await;
             } else if self.chance.random_bool(0.04) {
                 self.pause(100..LONGEST_REST).await;
