A connection that failed while it was flushed is ended with the reason that was reported

The clients' thread flushed, was told that the client does not read its answers, went on to read the connection that it had just shut down, and logged 'closed by the client'. It now leaves the connection to the next pass, which ends it as reported. Seen in traces of slow-client tests under load.

--- a/crates/server/src/client/event_loop/mod.rs
+++ b/crates/server/src/client/event_loop/mod.rs
@@ -203,6 +203,10 @@
             return;
         }
         connection.session.flush();
+        if connection.closing.is_none() && connection.session.has_failed() {
+            // It is ended in the next pass, with the reason that was reported.
+            return;
+        }
         // Events that the first wait after the accept returned immediately may have arrived before the accept.
         let accepted_before_wait = connection.accepted_in.number + 1 == pass.number;
         let arrived_in =
--- a/crates/server/src/session/client_session.rs
+++ b/crates/server/src/session/client_session.rs
@@ -152,6 +152,11 @@
         std::mem::take(&mut lock(&self.requests).cancelled_ahead)
     }
 
+    /// Whether the connection has failed, so that its owner is to end it.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed.load(SeqCst)
+    }
+
     /// Reports that the connection has failed, so that its owner ends it.
     fn fail(&self, error: ConnectionError) {
         if !self.has_failed.swap(true, SeqCst) {
