--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -1,26 +1,20 @@
 //! Checks a play by the seven rules and the terms, from the history alone.
 
 mod closes;
+mod dispatches;
+mod windows;
 
 use crate::answers::rows;
 use crate::history::{At, Dispatch, DispatchEnd, Event, GatewayRun, Records, Request, RequestEnd};
 use crate::schedule::{Group, Schedule, Semantics};
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// What is allowed for the way between processes, as the protocol allows 50 ms on sockets.
 const SLACK: At = 100_000;
 /// An answer this long after its time is a lost request.
 const LOST_AFTER: At = 500_000;
-/// An attempt may begin this long after its client has left.
-const LEFT_FOR: At = 100_000;
-/// An engine may be told so much more time than the client has left.
-const DEADLINE_SLACK: At = 150_000;
-/// What the bus has counts as told after this time.
-const TOLD_AFTER: At = 7_000_000;
-/// A dispatch may wait this long for a connection between the gateway's count and the engine's.
-const CONNECTING: At = 300_000;
 /// A gateway is ready within this time.
 const READY_WITHIN: At = 10_000_000;
 /// Where the test itself was late by this much, its times say nothing for a while.
@@ -277,234 +271,9 @@
             self.found(Rule::RefusedAfterRun, at, Some(&request.id), false, what);
         }
     }
-
-    fn dispatches(&mut self) {
-        let records = self.records;
-        let mut by_id: BTreeMap<&str, Vec<&Dispatch>> = BTreeMap::new();
-        for dispatch in &records.dispatches {
-            by_id.entry(&dispatch.id).or_default().push(dispatch);
-        }
-        let drains = Drains::read(records);
-        for (id, mut all) in by_id {
-            all.sort_by_key(|dispatch| dispatch.at);
-            let Some(request) = self.by_id.get(id).copied() else {
-                self.found(
-                    Rule::UnknownRequest,
-                    all[0].at,
-                    Some(id),
-                    false,
-                    "no client asked for it".to_string(),
-                );
-                continue;
-            };
-            for (position, dispatch) in all.iter().enumerate() {
-                self.one_dispatch(request, dispatch, &drains);
-                self.repeat(request, &all[..position], dispatch);
-            }
-        }
-    }
-
-    fn one_dispatch(&mut self, request: &Request, dispatch: &Dispatch, drains: &Drains) {
-        let (id, at) = (Some(request.id.as_str()), dispatch.at);
-        let due = request.sent + request.patience_ms * 1000;
-        match &request.end {
-            Some((left, RequestEnd::Left)) if at > left + LEFT_FOR + SLACK / 2 => {
-                let late = (at - left) / 1000;
-                self.found(
-                    Rule::SentAfterClientLeft,
-                    at,
-                    id,
-                    true,
-                    format!("{late} ms after its client left"),
-                );
-            }
-            Some((answered, end)) if *end != RequestEnd::Left && at > answered + SLACK => {
-                self.found(Rule::SentAfterAnswer, at, id, true, format!("{end:?} at {answered}"));
-            }
-            _ => {}
-        }
-        if at > due + SLACK {
-            self.found(Rule::SentAfterDeadline, at, id, true, format!("{} ms after", (at - due) / 1000));
-        }
-        let left = due.saturating_sub(at);
-        if dispatch.limit_ms * 1000 > left + DEADLINE_SLACK + SLACK {
-            let what = format!("told {} ms with {} ms left", dispatch.limit_ms, left / 1000);
-            self.found(Rule::DeadlineTooLong, at, id, true, what);
-        }
-        let class = &self.schedule.classes[request.class];
-        if self.knows(dispatch)
-            && class.zone.is_some_and(|zone| zone != self.schedule.zone_of(dispatch.engine))
-        {
-            self.found(
-                Rule::Placement,
-                at,
-                id,
-                false,
-                format!("class {} on {}", class.name, dispatch.engine),
-            );
-        }
-        let until = drains.until(dispatch, micros(self.schedule.rules.drain_grace));
-        if let Some(until) = until.filter(|until| at > until + SLACK) {
-            let late = (at - until) / 1000;
-            let what = format!("to draining engine {}, {late} ms past its grace", dispatch.engine);
-            self.found(Rule::Drain, at, id, true, what);
-        }
-    }
-
-    /// Whether the gateway had been told which engine listens where it sent this: before, it can't know that another one
-    /// has taken the address.
-    fn knows(&self, dispatch: &Dispatch) -> bool {
-        let told = self.told.get(&(dispatch.from, dispatch.engine, dispatch.engine_run));
-        told.is_some_and(|told| told + SLACK / 2 <= dispatch.at)
-    }
-
-    fn repeat(&mut self, request: &Request, before: &[&Dispatch], dispatch: &Dispatch) {
-        let (id, at) = (Some(request.id.as_str()), dispatch.at);
-        if let Some(out) = before.iter().find(|other| other.end.is_none_or(|(end, _)| end > at + SLACK / 2)) {
-            let what = format!("on engine {} beside one on engine {}", dispatch.engine, out.engine);
-            self.found(Rule::TwoOut, at, id, true, what);
-        }
-        let Some(ran) = before.iter().find(|other| !proves_unrun(other)) else { return };
-        match self.schedule.classes[request.class].semantics {
-            Semantics::Restartable => {}
-            Semantics::RunOnce => {
-                let what =
-                    format!("engine {} ended it {:?}, then engine {}", ran.engine, ran.end, dispatch.engine);
-                self.found(Rule::RunOnceAgain, at, id, false, what);
-            }
-            Semantics::Keyed => {
-                if at > ran.at + micros(self.schedule.rules.dedup_window) + SLACK {
-                    let late = (at - ran.at) / 1000;
-                    self.found(Rule::KeyedOutsideWindow, at, id, true, format!("{late} ms after the first"));
-                }
-                let group = |engine: usize| match self.schedule.group {
-                    Group::Zone => self.schedule.zone_of(engine),
-                    Group::Cell => self.schedule.cell_of(engine),
-                    Group::All => 0,
-                };
-                if group(ran.engine) != group(dispatch.engine) && self.knows(dispatch) {
-                    let what = format!("engine {} after engine {}", dispatch.engine, ran.engine);
-                    self.found(Rule::KeyedOutsideGroup, at, id, false, what);
-                }
-            }
-        }
-    }
-
-    /// Dispatches beyond a job's first, by gateway, in every window.
-    fn budgets(&mut self) {
-        let records = self.records;
-        let window = micros(self.schedule.rules.budget_window);
-        let mut seen: BTreeSet<&str> = BTreeSet::new();
-        let mut extras: BTreeMap<GatewayRun, Vec<At>> = BTreeMap::new();
-        let mut sorted: Vec<&Dispatch> = records.dispatches.iter().collect();
-        sorted.sort_by_key(|dispatch| dispatch.at);
-        for dispatch in sorted {
-            if !seen.insert(&dispatch.id) {
-                extras.entry(dispatch.from).or_default().push(dispatch.at);
-            }
-        }
-        for (run, extras) in extras {
-            let jobs: Vec<At> = records
-                .requests
-                .iter()
-                .filter(|request| request.to == run)
-                .map(|request| request.sent)
-                .collect();
-            for at in &extras {
-                // What counts is when they were sent; a connection may have taken a while to come up.
-                let near = extras
-                    .iter()
-                    .filter(|extra| (at + CONNECTING..=at + window).contains(&(**extra + window)));
-                let count = near.count() as f64;
-                let from = at.saturating_sub(window + CONNECTING);
-                let taken = jobs.iter().filter(|job| (from..=*at).contains(job)).count() as f64;
-                let most = self.schedule.rules.spare_attempts + self.schedule.rules.extra_ratio * taken;
-                if count > most + 1e-9 {
-                    let what = format!("{run:?}: {count} further dispatches where {most:.1} are allowed");
-                    self.found(Rule::Budget, *at, None, true, what);
-                }
-            }
-        }
-    }
-
-    /// Dispatches to engines that have just started: in no window more than the settings allow and chance may add.
-    fn cold_engines(&mut self) {
-        let records = self.records;
-        let (rules, schedule) = (&self.schedule.rules, self.schedule);
-        let work: u64 = schedule.classes.iter().map(|class| class.work_ms).sum();
-        let mean_work = work as f64 / schedule.classes.len() as f64;
-        let (warm, window) = (micros(rules.warm_after), micros(rules.overload_for));
-        let mut broken = vec![];
-        for (started, event) in &records.events {
-            let Event::EngineStarted { engine, run } = event else { continue };
-            if *run == 0 && *engine < schedule.engines {
-                continue;
-            }
-            let mut came: Vec<&Dispatch> = records.dispatches.iter().collect();
-            came.retain(|d| d.engine == *engine && d.engine_run == *run && d.at < started + warm);
-            came.sort_by_key(|dispatch| dispatch.at);
-            let knows = |dispatch: &&&Dispatch| {
-                let told = self.told.get(&(dispatch.from, *engine, *run));
-                told.is_some_and(|told| *told <= dispatch.at)
-            };
-            for last in &came {
-                let within: Vec<&&Dispatch> =
-                    came.iter().filter(|d| d.at <= last.at && d.at + window > last.at).collect();
-                let age = (last.at - started) as f64 / warm as f64;
-                let share = rules.start_capacity + (1.0 - rules.start_capacity) * age.min(1.0);
-                let n = rules.fall_multiple * schedule.cores * share * (window as f64 / 1000.0) / mean_work;
-                let most = if n < 30.0 { n + 3.0 * n.sqrt() + 3.0 } else { n + 2.0 * n.sqrt() + 2.0 };
-                let known = within.iter().filter(|d| knows(d)).count();
-                if within.len() as f64 > most && known * 3 > within.len() * 2 {
-                    let what = format!(
-                        "engine {engine} run {run}: {} dispatches of {most:.1}, {known} told",
-                        within.len()
-                    );
-                    broken.push((last.at, what));
-                    break;
-                }
-            }
-        }
-        for (at, what) in broken {
-            self.found(Rule::ColdEngine, at, None, true, what);
-        }
-    }
 }
 
 /// Whether the way a dispatch ended proves that it never ran.
 fn proves_unrun(dispatch: &Dispatch) -> bool {
     matches!(dispatch.end, Some((_, DispatchEnd::Shed | DispatchEnd::Late)))
 }
-
-/// When drains were in the bus, and when each gateway was told.
-struct Drains {
-    published: BTreeMap<(usize, u32), At>,
-    told: BTreeMap<(GatewayRun, usize, u32), At>,
-}
-
-impl Drains {
-    fn read(records: &Records) -> Drains {
-        let mut drains = Drains { published: BTreeMap::new(), told: BTreeMap::new() };
-        for (at, event) in &records.events {
-            match event {
-                Event::Drained { engine, run } => {
-                    drains.published.entry((*engine, *run)).or_insert(*at);
-                }
-                // One that is listed as in service again no longer drains.
-                Event::StartListed { engine, run } => drop(drains.published.remove(&(*engine, *run))),
-                Event::Told { to, engine, run, drained: true } => {
-                    drains.told.entry((*to, *engine, *run)).or_insert(*at);
-                }
-                _ => {}
-            }
-        }
-        drains
-    }
-
-    /// Until when a gateway may send there, if it drains.
-    fn until(&self, dispatch: &Dispatch, grace: At) -> Option<At> {
-        let published = self.published.get(&(dispatch.engine, dispatch.engine_run))?;
-        let told = self.told.get(&(dispatch.from, dispatch.engine, dispatch.engine_run));
-        Some(told.copied().unwrap_or(At::MAX).min(published + TOLD_AFTER) + grace)
-    }
-}
