The test of an error that only the read-ahead sees fails without the report

It passed with the report removed: the idle timeout ended the connection after 5 s, and the test asked only for an end. It now asserts the reason of the close.

Programs that tests start with failing calls log at level debug.

--- a/crates/server/tests/server/client_connections.rs
+++ b/crates/server/tests/server/client_connections.rs
@@ -146,6 +146,9 @@
     client.submit(1, "load", 9000);
     let end = client.read_to_end().map_err(|error| error.kind());
     faults.set_rate(FaultKind::AcceptedPeek, 0.0).unwrap();
+    // Not the idle timeout, which would end it later.
+    let reason = program.wait_for_log("closing client connection");
+    assert!(reason.contains("os error"), "{reason}");
     let mut other = program.connect();
     other.submit(2, "load", 9000);
     let next = engines.next_line();
--- a/crates/server/tests/server/support/program.rs
+++ b/crates/server/tests/server/support/program.rs
@@ -97,12 +97,13 @@
     pub fn start_with_descriptor_limit(config: ProgramConfig, descriptors: u32) -> Program {
         Program::start_in_shell(config, StartOptions { descriptors, ..StartOptions::default() })
     }
-    /// Starts it so that its system calls can be made to fail. None fails yet.
+    /// Starts it so that its system calls can be made to fail. None fails yet. Its log is that of
+    /// [`Program::start_with_debug_log`].
     pub fn start_with_faults(config: ProgramConfig) -> FaultyProgram {
         let number = STARTS.fetch_add(1, SeqCst);
         let file = format!("faults-{}-{number}", std::process::id());
         let faults = FaultControl::open(&PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file)).unwrap();
-        let options = StartOptions { faults: Some(&faults), ..StartOptions::default() };
+        let options = StartOptions { faults: Some(&faults), log_level: "debug", ..StartOptions::default() };
         let program = Program::start_in_shell(config, options);
         FaultyProgram { program, faults }
     }
