--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../case.sh" 3
