--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -45,10 +45,12 @@
         let number = self.world.answers.fetch_add(1, SeqCst);
         let mut note = String::new();
         if trouble() && number % SPOILT_EVERY == SPOILT_EVERY - 1 {
-            // Noise: one byte of the head line arrives as another one. Each spoilt answer has it at another place of
-            // the name of the first field.
-            let place = self.world.spoilt.fetch_add(1, SeqCst) % "sheets".len();
-            head[place] ^= 0x03;
+            // Noise: one byte of the name of the first field arrives as another one, in each spoilt answer at another
+            // place; in every seventh one no fields are left.
+            match self.world.spoilt.fetch_add(1, SeqCst) % 7 {
+                place @ 0..6 => head[place] ^= 0x03,
+                _ => head = b"-".to_vec(),
+            }
             note = format!(", arrives spoilt: HIT {}", String::from_utf8_lossy(&head));
         }
         self.record.line(&format!("engine {}: REQ {id} {fields}: ran, {PAGES} pages{note}", self.name));
