--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -32,7 +32,12 @@
 }
 
 impl Process {
-    fn start(name: &'static str, zone: &'static str, world: &Arc<World>, record: &Arc<Record>) -> (Arc<Process>, u16) {
+    fn start(
+        name: &'static str,
+        zone: &'static str,
+        world: &Arc<World>,
+        record: &Arc<Record>,
+    ) -> (Arc<Process>, u16) {
         let process = Arc::new(Process {
             identity: Mutex::new((name, zone)),
             connections: Mutex::default(),
@@ -69,7 +74,12 @@
             lock(&self.connections).clear();
             return connection.reset();
         }
-        connection.answer(id, "HIT", "sheets=1,toil=20.0,room=16", format!("{id}\t{name}\tdone\n").as_bytes());
+        connection.answer(
+            id,
+            "HIT",
+            "sheets=1,toil=20.0,room=16",
+            format!("{id}\t{name}\tdone\n").as_bytes(),
+        );
     }
 }
 
--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -18,6 +18,8 @@
 /// the descriptors.
 const BAD_CLIENTS: [(usize, usize); 4] = [(100, 120_000), (30, 30_000), (30, 8_000), (30, 2_000)];
 const PATIENCE_MS: u64 = 16_000;
+/// The length of the second statement of each usual client.
+const STATEMENT_BYTES: usize = 16_000;
 /// How late an answer may be: half a second, and 50 ms on sockets.
 const GRACE: Duration = Duration::from_millis(550);
 
@@ -68,7 +70,8 @@
     let mut entries = Vec::new();
     for (name, zone) in [("s-1a", "hall-a"), ("s-2b", "hall-a"), ("s-3c", "hall-b"), ("s-4d", "hall-b")] {
         let (record, is_done, forwarded) = (record.clone(), is_done.clone(), forwarded.clone());
-        let port = serve_engine(Arc::new(Site { name, record, is_done, forwarded, stopped: Mutex::default() }));
+        let port =
+            serve_engine(Arc::new(Site { name, record, is_done, forwarded, stopped: Mutex::default() }));
         entries.push(entry(name, port, zone, "in_service", 0));
     }
     let bus = Bus::start(&entries, &record);
@@ -102,8 +105,8 @@
         for (number, client) in clients.iter().enumerate() {
             scope.spawn(move || {
                 sleep_ms(40 * number as u64);
-                let statement = format!("select * from sales_{number}.orders where id in ({})", "17, ".repeat(4_000));
-                client.submit_in_pieces("report", &new_job_id(), PATIENCE_MS, statement.as_bytes(), 12_000, 120);
+                let statement = report_statement(number, STATEMENT_BYTES);
+                client.submit_in_pieces("report", &new_job_id(), PATIENCE_MS, &statement, 12_000, 120);
             });
         }
     });
@@ -120,10 +123,17 @@
     judge(&clients, &lock(&forwarded), refused.load(SeqCst), &record)
 }
 
+/// A statement of about this length that reads one table.
+fn report_statement(schema: usize, length: usize) -> Vec<u8> {
+    let ids = (length.saturating_sub(60) / 4).max(1);
+    format!("select * from sales_{schema}.orders where id in ({}17)", "17, ".repeat(ids)).into()
+}
+
 /// Whether the client still waits for an answer that can come.
 fn has_open_request(client: &Client) -> bool {
     let state = lock(&client.state);
-    state.ended.is_none() && state.sent.iter().any(|sent| sent.written_at.is_some() && sent.answers.is_empty())
+    state.ended.is_none()
+        && state.sent.iter().any(|sent| sent.written_at.is_some() && sent.answers.is_empty())
 }
 
 fn judge(clients: &[Client], forwarded: &HashSet<String>, refused: usize, record: &Record) -> i32 {
@@ -149,13 +159,21 @@
             }
             lost += 1;
             let how = state.ended.as_ref().map_or("no answer in time".to_string(), |(at, how)| {
-                format!("{how} {} ms after its last byte, no answer", at.duration_since(written_at).as_millis())
+                format!(
+                    "{how} {} ms after its last byte, no answer",
+                    at.duration_since(written_at).as_millis()
+                )
             });
-            record.line(&format!("BROKEN: client {}, request {}, job {}: {how}", client.name, sent.number, sent.job));
+            record.line(&format!(
+                "BROKEN: client {}, request {}, job {}: {how}",
+                client.name, sent.number, sent.job
+            ));
         }
     }
     record.line(&format!("requests of bad clients that were turned away: {refused}"));
-    record.result(&format!("{lost} of {taken} requests that were taken from usual clients were lost, {answered} answered"));
+    record.result(&format!(
+        "{lost} of {taken} requests that were taken from usual clients were lost, {answered} answered"
+    ));
     match (taken < clients.len(), lost) {
         (true, 0) => COULD_NOT_RUN,
         (_, 0) => HELD,
@@ -167,7 +185,7 @@
 /// away.
 fn bad_client(port: u16, length: usize, is_done: &AtomicBool, refused: &AtomicUsize) {
     use std::io::{Read, Write};
-    let body = vec![b'x'; length];
+    let body = report_statement(3, length);
     while !is_done.load(SeqCst) {
         let Ok(mut stream) = std::net::TcpStream::connect(("127.0.0.1", port)) else { continue };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
@@ -176,7 +194,8 @@
         let mut answer = [0; 4096];
         while !is_done.load(SeqCst) {
             match stream.read(&mut answer) {
-                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
                 _ => break,
             }
         }
--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -32,7 +32,10 @@
 
 impl Site {
     fn page(&self, id: &str, page: u32) -> Vec<u8> {
-        (0..ROWS_PER_PAGE).map(|row| format!("{id}\t{}\tpage {page} row {row}\n", self.name)).collect::<String>().into()
+        (0..ROWS_PER_PAGE)
+            .map(|row| format!("{id}\t{}\tpage {page} row {row}\n", self.name))
+            .collect::<String>()
+            .into()
     }
 }
 
@@ -109,7 +112,9 @@
         }
     }
     let spoilt = world.spoilt.load(SeqCst);
-    record.result(&format!("{wrong} of {served} results that were served are not whole; {spoilt} answers were spoilt"));
+    record.result(&format!(
+        "{wrong} of {served} results that were served are not whole; {spoilt} answers were spoilt"
+    ));
     match (served, wrong) {
         (0, _) => COULD_NOT_RUN,
         (_, 0) => HELD,
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -154,7 +154,8 @@
     let number = |from: usize, count: usize| -> Option<usize> {
         Some(bytes.get(from..from + count)?.iter().fold(0, |sum, byte| sum << 8 | usize::from(*byte)))
     };
-    let blob = |header: usize, length: usize| Some((bytes.get(header..header + length)?.to_vec(), header + length));
+    let blob =
+        |header: usize, length: usize| Some((bytes.get(header..header + length)?.to_vec(), header + length));
     let text = |header: usize, length: usize| {
         let (text, end) = blob(header, length)?;
         Some((Value::Text(String::from_utf8_lossy(&text).into_owned()), end))
@@ -282,7 +283,8 @@
         let fields = [("i", job.to_string()), ("d", patience_ms.to_string())];
         let bytes = request(number, class, &fields, body);
         let (head, tail) = bytes.split_at(first.min(bytes.len()));
-        let what = format!("client {}: request {number}, {class}, job {job}, {} bytes", self.name, bytes.len());
+        let what =
+            format!("client {}: request {number}, {class}, job {job}, {} bytes", self.name, bytes.len());
         (&self.stream).write_all(head).ok()?;
         if !tail.is_empty() {
             self.record.line(&format!("{what}: the first {} bytes written", head.len()));
@@ -484,7 +486,9 @@
         if BufReader::new(stream).read_line(&mut line).is_err() {
             return;
         }
-        let Some(mut sent) = line.trim_end().strip_prefix("from ").and_then(|last| last.parse::<usize>().ok()) else {
+        let Some(mut sent) =
+            line.trim_end().strip_prefix("from ").and_then(|last| last.parse::<usize>().ok())
+        else {
             return;
         };
         let mut next_heartbeat = Instant::now();
@@ -577,7 +581,8 @@
             settings(self.ordinal, &self.load)
         );
         std::fs::write(self.file("json"), configuration).expect("the configuration can be written");
-        let log = File::options().create(true).append(true).open(self.file("log")).expect("a log can be written");
+        let log =
+            File::options().create(true).append(true).open(self.file("log")).expect("a log can be written");
         let child = Command::new("/bin/sh")
             .args(["-c", &variable("RUN")])
             .current_dir(variable("ROOT"))
@@ -590,8 +595,11 @@
             .stderr(log)
             .spawn()
             .expect("the workload manager can be started");
-        let mut pids =
-            File::options().create(true).append(true).open(variable("PIDS")).expect("the pids can be written");
+        let mut pids = File::options()
+            .create(true)
+            .append(true)
+            .open(variable("PIDS"))
+            .expect("the pids can be written");
         writeln!(pids, "{}", child.id()).expect("the pids can be written");
         self.record.line(&format!("platform: {} started", self.name));
         self.child = Some(child);
