--- a/review/standins/case1.rs
+++ b/review/1/case.rs
@@ -1,6 +1,6 @@
 //! Case 1: a keyed job is applied in two groups of engines after a restart of its workload manager.
 
-#[path = "common.rs"]
+#[path = "../standins/common.rs"]
 mod common;
 
 use common::*;
@@ -83,6 +83,11 @@
     }
 }
 
+/// Whether the disruption takes place: not with `TROUBLE=0`.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn main() {
     exit_on_panic();
     exit(run());
--- a/review/standins/case2.rs
+++ b/review/2/case.rs
@@ -1,6 +1,6 @@
 //! Case 2: requests of usual clients are lost while other clients fill the memory for statements.
 
-#[path = "common.rs"]
+#[path = "../standins/common.rs"]
 mod common;
 
 use common::*;
@@ -58,6 +58,11 @@
     }
 }
 
+/// Whether the disruption takes place: not with `TROUBLE=0`.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn main() {
     exit_on_panic();
     exit(run());
--- a/review/standins/case3.rs
+++ b/review/3/case.rs
@@ -1,6 +1,6 @@
 //! Case 3: a part of a result is served as the whole result after noise in an answer.
 
-#[path = "common.rs"]
+#[path = "../standins/common.rs"]
 mod common;
 
 use common::*;
@@ -65,6 +65,11 @@
     }
 }
 
+/// Whether the disruption takes place: not with `TROUBLE=0`.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn main() {
     exit_on_panic();
     exit(run());
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standins/case*.rs; do
-    rustc --edition 2024 -O -o "target/review/$(basename "$source" .rs)" "$source"
+for source in review/[0-9]/case.rs; do
+    rustc --edition 2024 -O -o "target/review/case$(basename "$(dirname "$source")")" "$source"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -29,11 +29,6 @@
     std::env::var(name).unwrap_or_else(|_| panic!("{name} is not set"))
 }
 
-/// Whether the disruption takes place.
-pub fn trouble() -> bool {
-    std::env::var("TROUBLE").as_deref() != Ok("0")
-}
-
 pub fn unix_ms() -> u128 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis()
 }
