A result without its number of pages is malformed, not complete

Cause: Fields::page_count took a missing `sheets` for 1, and ResultPages::new took 0 for 1. The protocol page wants the number of all pages in every HIT, so its absence shows that the answer is not as the engine sent it.

Change: a HIT needs a number of pages of at least 1, in digits alone; anything else ends the connection like other malformed answers. Page numbers of further pages are read by the same function.

Tests: a_first_page_without_a_page_count_is_rejected and a_result_whose_page_count_is_unreadable_is_not_passed_on failed with the old page_count. a_first_page_without_fields_is_the_only_one held the wrong reading; the tests a_first_page_may_lack_all_fields_but_the_page_count and the first of the two above replace it. The tests' engines send `sheets=1` instead of no fields, as every engine has to. The soak's engines also spoil the name of the field.

--- a/crates/server/src/codec/engine.rs
+++ b/crates/server/src/codec/engine.rs
@@ -129,12 +129,12 @@
     /// The payload doesn't consist of complete rows with the expected number of columns.
     #[error("payload does not consist of complete rows")]
     MalformedRows,
-    /// The number of pages is malformed.
-    #[error("page count is not a number")]
+    /// A first page has no valid number of pages.
+    #[error("page count is missing or malformed")]
     InvalidPageCount,
     /// A further page has no valid page number.
     #[error("page number is missing or malformed")]
-    MissingPageNumber,
+    InvalidPageNumber,
     /// The kind of the message is unknown.
     #[error("unknown message kind")]
     UnknownKind,
@@ -234,14 +234,15 @@
         Some(ActualCost { work: TimeDelta::from_millis_f64(work_ms), memory_mb })
     }
 
+    /// The number of pages of the result. Without it, the first page could not be distinguished from a complete result.
     fn page_count(&self) -> Result<u32, EngineProtocolError> {
-        let Some(count) = self.text(FIELD_PAGE_COUNT) else { return Ok(1) };
-        count.parse().map_err(|_| EngineProtocolError::InvalidPageCount)
+        let count = self.text(FIELD_PAGE_COUNT).and_then(parse_digits);
+        count.filter(|count| *count > 0).ok_or(EngineProtocolError::InvalidPageCount)
     }
 
     fn page_number(&self) -> Result<u32, EngineProtocolError> {
-        let number = self.text(FIELD_PAGE_NUMBER).and_then(|number| number.parse().ok());
-        number.ok_or(EngineProtocolError::MissingPageNumber)
+        let number = self.text(FIELD_PAGE_NUMBER).and_then(parse_digits);
+        number.ok_or(EngineProtocolError::InvalidPageNumber)
     }
 
     fn progress(&self) -> Option<ProgressUpdate> {
@@ -285,6 +286,12 @@
     })
 }
 
+/// Parses a number that consists of digits alone; a sign is malformed.
+fn parse_digits(text: &str) -> Option<u32> {
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| text.parse().ok()).flatten()
+}
+
 /// Whether these are complete rows of text, with a tab between columns and a line feed after each row.
 fn is_page(page: &[u8]) -> bool {
     std::str::from_utf8(page).is_ok_and(|text| text.split_inclusive('\n').all(is_row))
--- a/crates/server/src/job/result_pages.rs
+++ b/crates/server/src/job/result_pages.rs
@@ -29,7 +29,7 @@
 }
 
 impl ResultPages {
-    /// A result of `page_count` pages, of which the first was received.
+    /// A result of `page_count` pages, at least one, of which the first was received.
     pub(super) fn new(
         rows: Vec<u8>,
         page_count: u32,
@@ -41,7 +41,7 @@
             out_of_order: Vec::new(),
             first_missing: 1,
             first_unrequested: 1,
-            page_count: page_count.max(1),
+            page_count,
             actual_cost,
             load_report,
         }
--- a/crates/server/tests/server/cancellation.rs
+++ b/crates/server/tests/server/cancellation.rs
@@ -30,7 +30,7 @@
     trace.push(engines.next_line().line);
     // The connection on which job 1 was cancelled still works, and job 1 gets no answer.
     client.submit(3, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "");
+    engines.next_line().reply("HIT", "sheets=1", "");
     trace.push(client.next_answer());
 
     expect![[r"
@@ -65,7 +65,7 @@
     other.submit(50, "load", 9000);
     let received = engines.next_line();
     assert_eq!((received.field(0), received.field(1)), ("REQ", &*wire_id(50)));
-    received.reply("HIT", "-", "");
+    received.reply("HIT", "sheets=1", "");
     assert_eq!(other.next_answer(), "50: done ");
     engines.expect_no_line();
 }
--- a/crates/server/tests/server/client_connections.rs
+++ b/crates/server/tests/server/client_connections.rs
@@ -33,7 +33,7 @@
         other.send_raw(bytes);
         writeln!(trace, "{what}: {}", other.next_answer()).unwrap();
     }
-    received.reply("HIT", "-", "still here");
+    received.reply("HIT", "sheets=1", "still here");
     trace += &client.next_answer();
 
     expect![[r"
@@ -64,16 +64,16 @@
         }
         for _ in 0..32 {
             let Some(received) = engines.next_line_if_soon() else { break 'full };
-            received.reply("HIT", "-", &rows);
+            received.reply("HIT", "sheets=1", &rows);
         }
     }
     client.submit(1, "lookup", 9000);
     let mut own = engines.next_line();
     while own.field(1) != wire_id(1) {
-        own.reply("HIT", "-", &rows);
+        own.reply("HIT", "sheets=1", &rows);
         own = engines.next_line();
     }
-    own.reply("HIT", "-", "quick");
+    own.reply("HIT", "sheets=1", "quick");
 
     expect![[r"1: done quick\tb\tc\n"]].assert_eq(&client.next_answer());
 }
@@ -114,7 +114,7 @@
     let SingleEngine { engines, bus: _bus, program: _program, mut client } = SingleEngine::start();
 
     client.submit(1, "lookup", 20_000);
-    engines.next_line().reply("HIT", "-", "taken");
+    engines.next_line().reply("HIT", "sheets=1", "taken");
     client.read_to_end().unwrap();
     // If the program had closed both directions, the first of these would cause a reset, and the next write would fail.
     for message in 2..20 {
--- a/crates/server/tests/server/configuration_reload.rs
+++ b/crates/server/tests/server/configuration_reload.rs
@@ -72,7 +72,7 @@
     (0..5).for_each(|_| program.signal("HUP"));
     writeln!(trace, "new: {}", new_bus.next_subscription()).unwrap();
     new_bus.send_update(2, &[endpoint("e0", &engines.addresses[0], IN_SERVICE)]);
-    engines.next_line().reply("HIT", "-", "still here");
+    engines.next_line().reply("HIT", "sheets=1", "still here");
     trace += &client.next_answer();
 
     expect![[r"
--- a/crates/server/tests/server/deadlines.rs
+++ b/crates/server/tests/server/deadlines.rs
@@ -54,7 +54,7 @@
     std::thread::sleep(Duration::from_millis(3200));
     for (message, client) in (2..).zip([&mut client, &mut fresh]) {
         client.submit(message, "lookup", 3000);
-        engines.next_line().reply("HIT", "-", "");
+        engines.next_line().reply("HIT", "sheets=1", "");
         trace.push(client.next_answer());
     }
 
--- a/crates/server/tests/server/dispatch_outcomes.rs
+++ b/crates/server/tests/server/dispatch_outcomes.rs
@@ -81,7 +81,7 @@
 
     for message in 1..=8 {
         client.submit(message, "load", 9000);
-        engines.next_line().reply("HIT", "-", "");
+        engines.next_line().reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{message}: done "));
     }
 }
@@ -107,10 +107,10 @@
         third.shares_connection_with(&silent),
         third.shares_connection_with(&other)
     ));
-    silent.reply("HIT", "-", "too late");
-    third.reply("HIT", "-", "later");
+    silent.reply("HIT", "sheets=1", "too late");
+    third.reply("HIT", "sheets=1", "later");
     trace.push(client.next_answer());
-    other.reply("HIT", "-", "in time");
+    other.reply("HIT", "sheets=1", "in time");
     trace.push(client.next_answer());
 
     expect![[r"
@@ -130,14 +130,14 @@
     for message in 1..=12 {
         client.submit(message, "lookup", 9000);
         engines.next_line().close_connection();
-        engines.next_line().reply("HIT", "-", "");
+        engines.next_line().reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{message}: done "));
     }
     client.submit(20, "lookup", 9000);
     for _ in 0..3 {
         engines.next_line().close_connection();
     }
-    engines.next_line().reply("HIT", "-", "");
+    engines.next_line().reply("HIT", "sheets=1", "");
 
     assert_eq!(client.next_answer(), "20: done ");
 }
@@ -152,8 +152,8 @@
     let first = engines.next_line();
     first.reply("FAULT", "-", "");
     let second = engines.next_line();
-    first.reply("HIT", "-", "late and wrong");
-    second.reply("HIT", "-", "right");
+    first.reply("HIT", "sheets=1", "late and wrong");
+    second.reply("HIT", "sheets=1", "right");
 
     expect![[r"1: done right\tb\tc\n"]].assert_eq(&client.next_answer());
 }
--- a/crates/server/tests/server/engine_codec.rs
+++ b/crates/server/tests/server/engine_codec.rs
@@ -69,10 +69,21 @@
 }
 
 #[test]
-fn a_first_page_without_fields_is_the_only_one() {
+fn a_first_page_may_lack_all_fields_but_the_page_count() {
     let expected =
         EngineMessage::FirstPage { page: Vec::new(), page_count: 1, actual_cost: None, load_report: None };
-    assert_eq!(parsed(&format!("{ID} HIT - 0\r\n\r\n")), expected);
+    assert_eq!(parsed(&format!("{ID} HIT sheets=1 0\r\n\r\n")), expected);
+}
+
+/// Noise in the field of the page count made the first page pass for the complete result.
+#[test]
+fn a_first_page_without_a_page_count_is_rejected() {
+    for fields in
+        ["-", "toil=12.5,room=64", "sheetp=3", "sheet=3", "sheets", "sheets=", "sheets=0", "sheets=+3"]
+    {
+        let bytes = format!("{ID} HIT {fields} 6\r\na\tb\tc\n\r\n");
+        assert_eq!(error(&bytes), EngineProtocolError::InvalidPageCount, "{fields}");
+    }
 }
 
 #[test]
@@ -109,7 +120,7 @@
 
 #[test]
 fn an_incomplete_message_is_neither_decoded_nor_rejected() {
-    let bytes = format!("{ID} HIT - 6\r\na\tb\tc\n\r\n");
+    let bytes = format!("{ID} HIT sheets=1 6\r\na\tb\tc\n\r\n");
     for length in 0..bytes.len() {
         assert_eq!(parse_message(&bytes.as_bytes()[..length]), Ok(None), "{length} bytes");
     }
@@ -120,7 +131,7 @@
     let cases = [
         ("x".repeat(4096), EngineProtocolError::UnterminatedLine, "no line end within 4096 bytes"),
         (
-            format!("{ID} HIT - 0\n"),
+            format!("{ID} HIT sheets=1 0\n"),
             EngineProtocolError::LineNotText,
             "line is not UTF-8 or does not end with CR LF",
         ),
@@ -130,33 +141,38 @@
             "line does not consist of id, kind, fields and payload length",
         ),
         (
-            format!("{ID} HIT - x\r\n"),
+            format!("{ID} HIT sheets=1 x\r\n"),
             EngineProtocolError::InvalidLength,
             "payload length is not a number or exceeds 6000 bytes",
         ),
         (
-            format!("{ID} HIT - 6001\r\n"),
+            format!("{ID} HIT sheets=1 6001\r\n"),
             EngineProtocolError::InvalidLength,
             "payload length is not a number or exceeds 6000 bytes",
         ),
         (
-            format!("{ID} HIT - 0\r\nxx"),
+            format!("{ID} HIT sheets=1 0\r\nxx"),
             EngineProtocolError::UnterminatedPayload,
             "payload is not followed by CR LF",
         ),
         (
-            format!("{ID} HIT - 4\r\na\tb\n\r\n"),
+            format!("{ID} HIT sheets=1 4\r\na\tb\n\r\n"),
             EngineProtocolError::MalformedRows,
             "payload does not consist of complete rows",
         ),
         (
             format!("{ID} HIT sheets=x 0\r\n\r\n"),
             EngineProtocolError::InvalidPageCount,
-            "page count is not a number",
+            "page count is missing or malformed",
         ),
         (
             format!("{ID} PART - 0\r\n\r\n"),
-            EngineProtocolError::MissingPageNumber,
+            EngineProtocolError::InvalidPageNumber,
+            "page number is missing or malformed",
+        ),
+        (
+            format!("{ID} PART sheet=+1 0\r\n\r\n"),
+            EngineProtocolError::InvalidPageNumber,
             "page number is missing or malformed",
         ),
         (format!("{ID} WORD - 0\r\n\r\n"), EngineProtocolError::UnknownKind, "unknown message kind"),
--- a/crates/server/tests/server/engine_connections.rs
+++ b/crates/server/tests/server/engine_connections.rs
@@ -30,13 +30,13 @@
 
     (1..=10).for_each(|message| client.submit(message, "load", 8_000));
     let sent: Vec<ReceivedLine> = (1..=8).map(|_| engines.next_line()).collect();
-    sent[0].reply("HIT", "-", "");
+    sent[0].reply("HIT", "sheets=1", "");
     let mut ends = vec![(sent[0].engine, client.next_answer().ends_with(": done "))];
     let next = engines.next_line();
     bus.send_update(2, &[engine(0, TERMINATING), engine(1, IN_SERVICE)]);
     let last = engines.next_line();
     for received in [next, last] {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         ends.push((received.engine, client.next_answer().ends_with(": done ")));
     }
 
@@ -60,7 +60,7 @@
         }
         let mut used: Vec<ReceivedLine> = (1..=3).map(|_| engines.next_line()).collect();
         for received in &used {
-            received.reply("HIT", "-", "");
+            received.reply("HIT", "sheets=1", "");
             client.next_answer();
         }
         idle();
@@ -70,13 +70,13 @@
         assert!(again_used || round > 0, "an idle connection was not reused although none was stale");
         stale.close_connection();
         let again = engines.next_line();
-        again.reply("HIT", "-", "");
+        again.reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{}: done ", message + 4));
         used.push(again);
         idle();
         other.submit(message + 5, "load", 9000);
         let fresh = engines.next_line();
-        fresh.reply("HIT", "-", "");
+        fresh.reply("HIT", "sheets=1", "");
         assert_eq!(other.next_answer(), format!("{}: done ", message + 5));
         again_used && !used.iter().any(|received| received.shares_connection_with(&fresh))
     });
@@ -97,9 +97,9 @@
     fresh["startedAtMs"] = json!(unix.as_millis() as u64 + 1);
     bus.send_update(2, &[fresh]);
     let mut trace = vec![client.next_answer()];
-    old.reply("HIT", "-", "from the old process");
+    old.reply("HIT", "sheets=1", "from the old process");
     client.submit(2, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "from the new process");
+    engines.next_line().reply("HIT", "sheets=1", "from the new process");
     trace.push(client.next_answer());
 
     expect![[r"
@@ -124,7 +124,7 @@
         fresh["startedAtMs"] = json!(unix.as_millis() as i64 + stepped_ms);
         bus.send_update(2, &[fresh]);
         program.wait_for_log("endpoint list changed event=2 ");
-        old.reply("HIT", "-", "from the old process");
+        old.reply("HIT", "sheets=1", "from the old process");
         trace.push(client.next_answer());
         client.submit(2, "lookup", 9000);
         let new = engines.next_line();
@@ -135,7 +135,7 @@
         bus.send_update(3, &[again]);
         client.request_health(3);
         trace.push(client.next_answer());
-        new.reply("HIT", "-", "from the new process");
+        new.reply("HIT", "sheets=1", "from the new process");
         trace.push(client.next_answer());
     }
 
@@ -191,7 +191,7 @@
     assert_eq!(bus.next_subscription(), "from 3");
     for message in 1..=4 {
         client.submit(message, "load", 9000);
-        engines.next_line().reply("HIT", "-", "");
+        engines.next_line().reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{message}: done "));
     }
 }
@@ -206,7 +206,7 @@
     client.submit(1, "load", 20_000);
     let mut received = engines.next_line();
     for message in 2..40 {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{}: done ", message - 1));
         program.while_suspended(|| {
             received.close_connection();
@@ -226,7 +226,7 @@
     client.submit(1, "load", 20_000);
     let mut received = engines.next_line();
     for message in 2..20 {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{}: done ", message - 1));
         program.while_suspended(|| {
             received.send_raw(b"0000");
@@ -251,7 +251,7 @@
     client.submit(1, "load", 20_000);
     let mut received = engines.next_line();
     for message in 2..12 {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{}: done ", message - 1));
         received.send_raw(b"0000");
         client.submit(message, "load", 20_000);
@@ -279,7 +279,7 @@
         // The next job needs a connection of its own.
         client.submit(100 + message, "load", 9000);
         engines.complete(100 + message);
-        line.reply("HIT", "-", "");
+        line.reply("HIT", "sheets=1", "");
         done += (0..2).filter(|_| client.next_answer().ends_with(": done ")).count();
     }
 
--- a/crates/server/tests/server/event_bus.rs
+++ b/crates/server/tests/server/event_bus.rs
@@ -31,7 +31,7 @@
         message += 1;
         client.submit(message, "lookup", 9000);
         let received = engines.next_line();
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         assert_eq!(client.next_answer(), format!("{message}: done "));
         received.engine
     };
@@ -147,7 +147,7 @@
     bus.send_line(&line);
     program.wait_for_log("endpoint list changed event=2 entries=3201 running=1");
     client.submit(1, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "");
+    engines.next_line().reply("HIT", "sheets=1", "");
 
     assert_eq!(client.next_answer(), "1: done ");
 }
--- a/crates/server/tests/server/limits.rs
+++ b/crates/server/tests/server/limits.rs
@@ -44,7 +44,7 @@
         let clients: Vec<_> = (0..60).map(client).collect();
         while !clients.iter().all(std::thread::ScopedJoinHandle::is_finished) {
             if let Some(received) = engines.next_line_if_soon() {
-                received.reply("HIT", "-", "");
+                received.reply("HIT", "sheets=1", "");
             }
         }
         for client in clients {
@@ -86,14 +86,14 @@
             0 => client.send_raw(b"\x94\x00"),
             1 => {
                 client.submit(message, "lookup", 9000);
-                engines.next_line().reply("HIT", "-", "");
+                engines.next_line().reply("HIT", "sheets=1", "");
                 assert!(client.next_answer().ends_with("done "));
             }
             _ => {}
         }
         idle.push(client);
     }
-    received.reply("HIT", "-", "patient");
+    received.reply("HIT", "sheets=1", "patient");
     expect![[r"1: done patient\tb\tc\n"]].assert_eq(&waiting.next_answer());
     // The connections that were not closed for others are closed by the idle timeout.
     let ends = idle.iter_mut().map(Client::next_answer);
@@ -244,7 +244,7 @@
     let mut client = program.connect();
     client.submit(1, "lookup", 20_000);
     let received = engines.next_line();
-    received.reply("HIT", "-", "");
+    received.reply("HIT", "sheets=1", "");
     assert_eq!((received.engine, client.next_answer()), (1, "1: done ".to_string()));
     drop(idle);
 }
@@ -298,7 +298,7 @@
     let received: Vec<ReceivedLine> = (0..BURST).map(|_| engines.next_line()).collect();
     let burst_threads = program.thread_count();
     for received in &received {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
     }
     let began = Instant::now();
     let mut message = 1000;
--- a/crates/server/tests/server/requests.rs
+++ b/crates/server/tests/server/requests.rs
@@ -42,7 +42,7 @@
     let request =
         |message| encode_request(message, "lookup", &[("i", &wire_id(message)), ("d", "9000")], SELECT);
     request(1).chunks(1).for_each(|byte| client.send_raw(byte));
-    engines.next_line().reply("HIT", "-", "one");
+    engines.next_line().reply("HIT", "sheets=1", "one");
     let mut trace = vec![client.next_answer()];
     client.send_raw(&(2..=32).flat_map(request).collect::<Vec<u8>>());
     let mut received: Vec<ReceivedLine> = (2..=32).map(|_| engines.next_line()).collect();
@@ -50,7 +50,7 @@
     // The engine answers in the reverse order.
     received.reverse();
     for received in &received {
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
     }
     let mut answers: Vec<String> = (2..=32).map(|_| client.next_answer()).collect();
     assert!(answers.iter().all(|answer| answer.ends_with(": done ")));
@@ -86,7 +86,7 @@
     }
     client.send_raw(b"\x93\x02\xa5hello\x90");
     client.submit(8, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "");
+    engines.next_line().reply("HIT", "sheets=1", "");
     trace += &client.next_answer();
 
     expect![[r"
@@ -128,11 +128,11 @@
     same_number.request_health(7);
     writeln!(trace, "{}", same_number.next_answer()).unwrap();
     assert_eq!(engines.next_line().field(0), "STOP");
-    received.reply("HIT", "-", "own");
+    received.reply("HIT", "sheets=1", "own");
     writeln!(trace, "{}", client.next_answer()).unwrap();
     // Once the request is answered, its id may be used again.
     client.submit(1, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "again");
+    engines.next_line().reply("HIT", "sheets=1", "again");
     trace += &client.next_answer();
     expect![[r"
         5: Failed why=field i is that of an open request
@@ -161,7 +161,7 @@
             &statement,
         ));
         let received = engines.next_line();
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
         client.next_answer();
         *engines_used.entry(received.engine).or_default() += 1;
     }
--- a/crates/server/tests/server/results.rs
+++ b/crates/server/tests/server/results.rs
@@ -43,6 +43,37 @@
     engines.expect_no_line();
 }
 
+/// Noise hits the field that holds the number of pages. The first page must not complete the job, since the client could
+/// not tell that the other pages are missing: a retryable job is sent again, and one that must not run twice fails.
+#[test]
+fn a_result_whose_page_count_is_unreadable_is_not_passed_on() {
+    let SingleEngine { engines, bus: _bus, program: _program, mut client } = SingleEngine::start();
+
+    let mut trace = Vec::new();
+    for (message, fields) in [(1, "sheetp=3"), (2, "-"), (3, "sheets=0")] {
+        client.submit(message, "lookup", 9000);
+        engines.next_line().reply("HIT", fields, "0");
+        let again = engines.next_line();
+        trace.push(again.line.split(' ').take(2).collect::<Vec<&str>>().join(" "));
+        again.reply("HIT", "sheets=1", "complete");
+        trace.push(client.next_answer());
+    }
+    client.submit(4, "load", 9000);
+    engines.next_line().reply("HIT", "sheetp=3", "0");
+    trace.push(client.next_answer());
+
+    expect![[r"
+        REQ 0000000000000001
+        1: done complete\tb\tc\n
+        REQ 0000000000000002
+        2: done complete\tb\tc\n
+        REQ 0000000000000003
+        3: done complete\tb\tc\n
+        4: Failed why=cancelled"]]
+    .assert_eq(&trace.join("\n"));
+    engines.expect_no_line();
+}
+
 /// A page of more than 6000 bytes violates the engine protocol. The job fails and none of the rows are passed on.
 #[test]
 fn a_result_page_over_the_size_limit_is_not_passed_on() {
@@ -77,10 +108,10 @@
         malformed.send_raw(format!("{} {answer}", wire_id(message)).as_bytes());
         let again = engines.next_line();
         assert!(!again.shares_connection_with(&malformed) && !again.shares_connection_with(&other));
-        again.reply("HIT", "-", what);
+        again.reply("HIT", "sheets=1", what);
         writeln!(trace, "{}", client.next_answer()).unwrap();
     }
-    other.reply("HIT", "-", "other");
+    other.reply("HIT", "sheets=1", "other");
     trace += &client.next_answer();
 
     expect![[r"
@@ -103,14 +134,14 @@
 
     client.submit(1, "lookup", 9000);
     let received = engines.next_line();
-    received.reply_as("ffffffffffffffff", "HIT", "-", "not asked for");
+    received.reply_as("ffffffffffffffff", "HIT", "sheets=1", "not asked for");
     received.reply_as("p99", "PONG", "-", "");
-    received.reply("HIT", "-", "right");
-    received.reply("HIT", "-", "again");
+    received.reply("HIT", "sheets=1", "right");
+    received.reply("HIT", "sheets=1", "again");
     received.reply("FAULT", "-", "");
     let mut trace = vec![client.next_answer()];
     client.submit(2, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "second");
+    engines.next_line().reply("HIT", "sheets=1", "second");
     trace.push(client.next_answer());
 
     expect![[r"
--- a/crates/server/tests/server/shutdown.rs
+++ b/crates/server/tests/server/shutdown.rs
@@ -34,9 +34,9 @@
         }
     }
     other.submit(4, "lookup", 9000);
-    engines.next_line().reply("HIT", "-", "late guest");
+    engines.next_line().reply("HIT", "sheets=1", "late guest");
     writeln!(trace, "{}", other.next_answer()).unwrap();
-    first.reply("HIT", "-", "first");
+    first.reply("HIT", "sheets=1", "first");
     let mut answers = [client.next_answer(), client.next_answer(), client.next_answer()];
     answers.sort();
     trace += &answers.join("\n");
@@ -78,8 +78,8 @@
     // The connection without an open request is closed while the others wait for their answers.
     assert_eq!(idle.next_answer(), "closed");
     received.sort_by_key(|received| received.field(1).to_string());
-    received[0].reply("HIT", "-", "old");
-    received[1].reply("HIT", "-", "new");
+    received[0].reply("HIT", "sheets=1", "old");
+    received[1].reply("HIT", "sheets=1", "new");
     let mut trace = vec![old.next_answer(), old.next_answer(), new.next_answer(), new.next_answer()];
     trace.push(program.wait_for_exit().to_string());
 
@@ -109,7 +109,7 @@
     fresh.submit(2, "lookup", 20_000);
     let mut trace = vec![match engines.next_line_if_soon() {
         Some(received) => {
-            received.reply("HIT", "-", "taken");
+            received.reply("HIT", "sheets=1", "taken");
             fresh.next_answer()
         }
         None => "never sent".to_string(),
@@ -186,7 +186,7 @@
     assert_eq!(new_bus.next_subscription(), "from 1");
     program.signal("TERM");
     program.signal("INT");
-    received.reply("HIT", "-", "still here");
+    received.reply("HIT", "sheets=1", "still here");
     assert_eq!(client.next_answer(), "1: done still here\\tb\\tc\\n");
     client.read_to_end().unwrap();
     client.disconnect();
--- a/crates/server/tests/server/support/engines.rs
+++ b/crates/server/tests/server/support/engines.rs
@@ -95,7 +95,7 @@
         while (received.field(0), received.field(1)) != ("REQ", &wire_id(message)) {
             received = self.next_line();
         }
-        received.reply("HIT", "-", "");
+        received.reply("HIT", "sheets=1", "");
     }
     /// The next line, if one is received within [`UNEXPECTED_LINE_TIMEOUT`].
     pub fn next_line_if_soon(&self) -> Option<ReceivedLine> {
--- a/crates/server/tests/server/support/unread_answers.rs
+++ b/crates/server/tests/server/support/unread_answers.rs
@@ -18,7 +18,7 @@
     for first in (FIRST_MESSAGE..END_MESSAGE).step_by(JOBS_OPEN_AT_A_TIME as usize) {
         let messages = first..first + JOBS_OPEN_AT_A_TIME;
         messages.clone().for_each(|message| slow.submit(message, "lookup", 20_000));
-        messages.for_each(|_| engines.next_line().reply("HIT", "-", rows));
+        messages.for_each(|_| engines.next_line().reply("HIT", "sheets=1", rows));
     }
     wait_until_answered(engines, program, END_MESSAGE - JOBS_OPEN_AT_A_TIME..END_MESSAGE);
 }
@@ -34,7 +34,7 @@
             message += 1;
             other.send_raw(&encode_request(message, "lookup", &[("i", &id), ("d", "20000")], SELECT));
             if let Some(received) = engines.next_line_if_soon() {
-                received.reply("HIT", "-", "");
+                received.reply("HIT", "sheets=1", "");
                 break;
             }
         }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -438,7 +438,7 @@
     /// Answers in one of several ways that break the protocol or are slow.
     async fn answer_corrupt(&self) {
         let id = &self.id;
-        let variant = rand::rng().random_range(0..7);
+        let variant = rand::rng().random_range(0..8);
         match variant {
             0 => self.send(b"what is this\r\n".to_vec()),
             1 => self.send(format!("{id} HIT sheets=1 40\r\nhalf a row").into_bytes()),
@@ -452,8 +452,13 @@
                 tokio::time::sleep(Duration::from_millis(30)).await;
                 self.send(self.result_message());
             }
-            // Contradictory: progress, then the answer that the job never ran.
+            // Noise in the name of the field for the number of pages.
             5 => {
+                let rows = rows(id, self.engine.index, self.engine_run);
+                self.send(message(id, "HIT", &format!("sheetp={}", rows.len()), &rows[0]));
+            }
+            // Contradictory: progress, then the answer that the job never ran.
+            6 => {
                 self.send(message(id, "INFO", "tell=advance,val=0.70", ""));
                 self.record_end(DispatchEnd::Fault);
                 self.send(message(id, "LATE", "-", ""));
