A reused address belongs to one engine, at the start and when engines are listed again

Cause: the known events were merged in the order of the engines' names, and the entry that was applied last kept the address. The same dead engine also came back by three other ways: a new engine that is first listed while it drains didn't close the address, a complete list was applied in the order of its entries, and any later entry of the dead engine opened its handle again.

Change: EndpointDirectory has one holder for each address; an engine that loses it is closed until it starts again there. The known events are applied one after another, as on the bus. Of several engines that one event lists at an address, the latest start wins. The controller still gets the engines of the start in the order of their names. KnownEngine has a file of its own.

Tests: a_start_knows_which_engine_has_a_reused_address and an_engine_that_has_lost_its_address_accepts_no_jobs_when_it_is_listed_again failed before, in all ten variants.

--- a/crates/server/src/codec/event_bus.rs
+++ b/crates/server/src/codec/event_bus.rs
@@ -41,7 +41,7 @@
 
 /// Unix time in microseconds, read from a machine's wall clock. A [`Timestamp`](pebblevane::time::Timestamp) is read
 /// from the program's monotonic clock instead.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UnixTime(pub i64);
 
 impl UnixTime {
--- a/crates/server/src/decision/controller_thread.rs
+++ b/crates/server/src/decision/controller_thread.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::event_bus::Event;
 use crate::config::NamePositions;
-use crate::decision::endpoint_directory::{EndpointDirectory, merge_initial_events};
+use crate::decision::endpoint_directory::EndpointDirectory;
 use crate::decision::event::ControllerEvent;
 use crate::decision::handle::ControllerHandle;
 use crate::decision::open_job::OpenJob;
@@ -54,9 +54,9 @@
 
     /// Passes the engines that are known at the start to the controller as one complete list.
     pub(super) fn load_initial_endpoints(&mut self, events: Vec<Event>) {
-        let event = merge_initial_events(events);
         let now = clock::now();
-        let actions = self.endpoints_changed(now, event, None);
+        let endpoints = self.endpoints.apply_initial(now, events);
+        let actions = self.controller.endpoints_changed(now, ListScope::Complete, endpoints);
         self.carry_out(now, actions);
     }
 
--- a/crates/server/src/decision/endpoint_directory.rs
+++ b/crates/server/src/decision/endpoint_directory.rs
@@ -2,13 +2,14 @@
 
 use crate::codec::event_bus::{EndpointEntry, Event, UnixTime};
 use crate::config::NamePositions;
+use crate::decision::known_engine::{EndpointChange, EngineStart, KnownEngine};
 use crate::discovery::start_time_converter::StartTimeConverter;
 use crate::engine::handle::EngineHandle;
 use crate::engine::registry::EngineRegistry;
 use pebblevane::interface::{Endpoint, EngineId, LifecycleState};
 use pebblevane::time::Timestamp;
 use pebblevane_adapter_common::EngineIds;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,46 +17,20 @@
 pub(super) struct EndpointDirectory {
     ids: EngineIds,
     engines: BTreeMap<EngineId, KnownEngine>,
+    /// The engine that listens at each address: of those listed there, the one that started last.
+    address_holders: HashMap<SocketAddr, EngineId>,
     name_positions: NamePositions,
     registry: Arc<EngineRegistry>,
     start_time_converter: StartTimeConverter,
 }
 
-struct KnownEngine {
-    handle: Arc<EngineHandle>,
-    address: SocketAddr,
-    start: Option<EngineStart>,
-    lifecycle: LifecycleState,
-}
-
-/// When an engine started.
-#[derive(Clone, Copy)]
-struct EngineStart {
-    /// The start time in the endpoint list, in wall-clock time.
-    wall_time: UnixTime,
-    /// The start time on the program's own clock.
-    at: Timestamp,
-}
-
-/// Merges events into one complete list of the engines that exist after the last of them.
-pub(super) fn merge_initial_events(events: Vec<Event>) -> Event {
-    let mut entries = BTreeMap::new();
-    for event in events {
-        if event.complete {
-            entries.clear();
-        }
-        entries.extend(event.engines.into_iter().map(|entry| (entry.name.clone(), entry)));
-    }
-    let engines = entries.into_values().collect();
-    Event { offset: 0, complete: true, engines, malformed: Vec::new() }
-}
-
 impl EndpointDirectory {
     /// A directory without engines.
     pub(super) fn new(name_positions: NamePositions, registry: Arc<EngineRegistry>) -> EndpointDirectory {
         EndpointDirectory {
             ids: EngineIds::default(),
             engines: BTreeMap::new(),
+            address_holders: HashMap::new(),
             name_positions,
             registry,
             start_time_converter: StartTimeConverter::default(),
@@ -78,6 +53,30 @@
         self.ids.remove(id);
     }
 
+    /// Applies the events that are known at the start, in their order, and returns the engines that are listed after the
+    /// last of them, in the order of their names.
+    #[must_use]
+    pub(super) fn apply_initial(&mut self, now: Timestamp, events: Vec<Event>) -> Vec<Endpoint> {
+        let entries = events.iter().flat_map(|event| &event.engines);
+        let names: BTreeSet<String> = entries.map(|entry| entry.name.clone()).collect();
+        let ids: Vec<EngineId> = names.iter().map(|name| self.ids.assign(name)).collect();
+        let mut listed = BTreeMap::new();
+        let mut last_event = 0;
+        for event in events {
+            if event.complete {
+                listed.clear();
+            }
+            last_event = event.offset;
+            let endpoints = self.apply_event(now, event, None);
+            listed.extend(endpoints.into_iter().map(|endpoint| (endpoint.engine, endpoint)));
+        }
+        for id in ids.into_iter().filter(|id| !listed.contains_key(id)) {
+            self.ids.remove(id);
+        }
+        self.log_change(last_event, listed.len());
+        listed.into_values().collect()
+    }
+
     /// Applies a change of the endpoint list and returns the changed entries in the form that the controller expects.
     /// `last_complete` is when the list was last known to be complete before the change.
     #[must_use]
@@ -86,36 +85,51 @@
         now: Timestamp,
         event: Event,
         last_complete: Option<Timestamp>,
+    ) -> Vec<Endpoint> {
+        let event_number = event.offset;
+        let endpoints = self.apply_event(now, event, last_complete);
+        self.log_change(event_number, endpoints.len());
+        endpoints
+    }
+
+    fn apply_event(
+        &mut self,
+        now: Timestamp,
+        event: Event,
+        last_complete: Option<Timestamp>,
     ) -> Vec<Endpoint> {
         self.record_wall_clock(now);
-        let mut endpoints = Vec::with_capacity(event.engines.len());
-        for entry in event.engines {
-            endpoints.extend(self.apply_entry(now, entry, last_complete));
-        }
+        let entries = event.engines.into_iter();
+        let changes: Vec<EndpointChange> =
+            entries.filter_map(|entry| self.read_entry(now, entry, last_complete)).collect();
+        self.update_engines(&changes);
+        let endpoints: Vec<Endpoint> = changes.into_iter().map(|change| change.endpoint).collect();
         if event.complete {
             self.remove_all_but(&endpoints);
         }
+        endpoints
+    }
+
+    fn log_change(&self, event: u64, entries: usize) {
         let engines = self.engines.values();
         let running = engines.filter(|known| known.lifecycle == LifecycleState::Running).count();
-        tracing::info!(event = event.offset, entries = endpoints.len(), running, "endpoint list changed");
-        endpoints
+        tracing::info!(event, entries, running, "endpoint list changed");
     }
 
-    /// Applies one entry. Returns `None`, and ignores the entry, if its address is malformed.
-    fn apply_entry(
+    /// Converts one entry. Returns `None`, and ignores the entry, if its address is malformed.
+    fn read_entry(
         &mut self,
         now: Timestamp,
         entry: EndpointEntry,
         last_complete: Option<Timestamp>,
-    ) -> Option<Endpoint> {
+    ) -> Option<EndpointChange> {
         let Ok(address) = entry.address.parse::<SocketAddr>() else {
             tracing::warn!(engine = %entry.name, address = %entry.address, "endpoint with a malformed address ignored");
             return None;
         };
         let id = self.ids.assign(&entry.name);
         let start = entry.started.map(|wall_time| self.start_of(id, wall_time, now, last_complete));
-        self.update_engine(id, address, entry.lifecycle, start);
-        Some(Endpoint {
+        let endpoint = Endpoint {
             engine: id,
             // A machine type or location that the settings do not list gets a position that does not exist.
             machine_type: self.name_positions.machine_type(&entry.machine_type).unwrap_or(usize::MAX),
@@ -125,7 +139,8 @@
             started_at: start.map(|start| start.at),
             capacity_hint: entry.weight,
             name: entry.name,
-        })
+        };
+        Some(EndpointChange { endpoint, address, start })
     }
 
     /// Converts a start time to the program's clock. An engine whose listed start time has not changed keeps the result
@@ -144,44 +159,58 @@
         })
     }
 
-    /// Updates the handle on an engine after a change of its entry. An entry with another address is another engine.
-    fn update_engine(
-        &mut self,
-        id: EngineId,
-        address: SocketAddr,
-        lifecycle: LifecycleState,
-        start: Option<EngineStart>,
-    ) {
-        let known = self.engines.get_mut(&id);
-        let same_engine =
-            known.filter(|known| known.address == address && known.lifecycle != LifecycleState::Gone);
-        match same_engine {
-            Some(known) => known.update(lifecycle, start),
-            None => self.add_engine(id, address, lifecycle, start),
+    /// Updates the engines after a change of their entries. Dispatches are accepted only once it is known which engine
+    /// listens at each address.
+    fn update_engines(&mut self, changes: &[EndpointChange]) {
+        let started: Vec<EngineId> = changes.iter().filter_map(|change| self.update_engine(change)).collect();
+        for id in &started {
+            self.assign_address(*id, &started);
         }
-        self.engines[&id].handle.set_accepts_dispatches(lifecycle == LifecycleState::Running);
-        if lifecycle == LifecycleState::Gone {
-            self.remove(id);
+        for change in changes {
+            if let Some(known) = self.engines.get(&change.endpoint.engine) {
+                known.update_handle();
+            }
         }
     }
 
-    fn add_engine(
-        &mut self,
-        id: EngineId,
-        address: SocketAddr,
-        lifecycle: LifecycleState,
-        start: Option<EngineStart>,
-    ) {
+    /// Updates an engine after a change of its entry, and returns its id if it was added or has restarted. An entry with
+    /// another address is another engine; so is a new start of an engine whose address had passed to another one.
+    fn update_engine(&mut self, change: &EndpointChange) -> Option<EngineId> {
+        let id = change.endpoint.engine;
+        if change.endpoint.lifecycle == LifecycleState::Gone {
+            self.remove(id);
+            return None;
+        }
+        if let Some(known) = self.engines.get_mut(&id).filter(|known| known.is_same_engine(change)) {
+            return known.update(change).then_some(id);
+        }
         self.remove(id);
-        if lifecycle == LifecycleState::Running {
-            // An engine that had this address before no longer exists, even if the list has not reported that yet.
-            self.engines
-                .values()
-                .filter(|old| old.address == address)
-                .for_each(|old| old.handle.engine_removed());
+        let handle = EngineHandle::new(&self.registry, self.ids.name(id), change.address);
+        self.engines.insert(id, KnownEngine::new(handle, change));
+        Some(id)
+    }
+
+    /// Assigns its address to an engine that the event has added or restarted, and displaces the engine that was listed
+    /// there before. If both are among those that `started` by the same event, the one that started last has the
+    /// address, whatever their order in the list.
+    fn assign_address(&mut self, id: EngineId, started: &[EngineId]) {
+        let Some(known) = self.engines.get(&id) else { return };
+        let Some(previous) =
+            self.address_holders.insert(known.address, id).filter(|previous| *previous != id)
+        else {
+            return;
+        };
+        let previous_is_later =
+            started.contains(&previous) && self.engines[&previous].start_order() > known.start_order();
+        let displaced = if previous_is_later {
+            self.address_holders.insert(known.address, previous);
+            id
+        } else {
+            previous
+        };
+        if let Some(known) = self.engines.get_mut(&displaced) {
+            known.displace();
         }
-        let handle = EngineHandle::new(&self.registry, self.ids.name(id), address);
-        self.engines.insert(id, KnownEngine { handle, address, start, lifecycle });
     }
 
     fn remove_all_but(&mut self, endpoints: &[Endpoint]) {
@@ -194,18 +223,10 @@
 
     /// Removes an engine: no further dispatches are sent to it, but those in flight may still finish.
     fn remove(&mut self, id: EngineId) {
-        if let Some(old) = self.engines.remove(&id) {
-            old.handle.engine_removed();
-        }
-    }
-}
-
-impl KnownEngine {
-    fn update(&mut self, lifecycle: LifecycleState, start: Option<EngineStart>) {
-        let known_wall_time = self.start.map(|start| start.wall_time);
-        if let Some(start) = start.filter(|start| known_wall_time != Some(start.wall_time)) {
-            self.handle.engine_restarted(start.at);
+        let Some(old) = self.engines.remove(&id) else { return };
+        if self.address_holders.get(&old.address) == Some(&id) {
+            self.address_holders.remove(&old.address);
         }
-        (self.start, self.lifecycle) = (start, lifecycle);
+        old.handle.engine_removed();
     }
 }
--- a/crates/server/src/decision/mod.rs
+++ b/crates/server/src/decision/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint_directory;
 mod event;
 mod handle;
+mod known_engine;
 mod open_job;
 mod start;
 
--- a/crates/server/tests/server/main.rs
+++ b/crates/server/tests/server/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod resource_budgets;
 mod results;
+mod reused_addresses;
 mod shutdown;
 mod start_time_converter;
 mod support;
--- /dev/null
+++ b/crates/server/tests/server/reused_addresses.rs
@@ -0,0 +1,142 @@
+//! An address passes to a new engine while the endpoint list still contains the engine that had it before. A job that is
+//! sent there as if to the earlier engine escapes the rules on idempotency groups, draining and placement (rules 2, 3
+//! and 6), since they are checked against the wrong engine.
+//!
+//! In the first tests the new engine drains, so a job that reaches the address was sent for the earlier one.
+
+use crate::support::client::Client;
+use crate::support::config::ProgramConfig;
+use crate::support::engines::EngineStandIns;
+use crate::support::event_bus::{
+    EventBusStandIn, IN_SERVICE, TERMINATED, TERMINATING, endpoint, snapshot_event, update_event,
+};
+use crate::support::program::Program;
+use expect_test::expect;
+use serde_json::{Value as Json, json};
+use std::fmt::Write as _;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Names of the earlier and of the new engine, in both orders of the alphabet.
+const NAMES: [(&str, &str); 2] = [("a", "b"), ("b", "a")];
+/// How long the client of a job waits that no engine may get.
+const CLIENT_TIMEOUT_MS: u32 = 600;
+
+/// An entry of an engine that started just now.
+fn started_now(name: &str, address: &str, state: &str) -> Json {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    started(name, address, state, unix.as_millis() as u64)
+}
+
+/// An entry of an engine that started at this Unix time.
+fn started(name: &str, address: &str, state: &str, unix_ms: u64) -> Json {
+    let mut entry = endpoint(name, address, state);
+    entry["startedAtMs"] = json!(unix_ms);
+    entry
+}
+
+/// Submits a job, and returns its answer and whether any engine has received it.
+fn submit(engines: &EngineStandIns, client: &mut Client, message: u32) -> String {
+    client.submit(message, "lookup", CLIENT_TIMEOUT_MS);
+    let received = engines.next_line_if_soon();
+    format!("{}, sent: {}\n", client.next_answer(), received.is_some())
+}
+
+/// The program starts with a list that contains both engines. It merged the known events in the order of the engines'
+/// names, so that a dead engine could keep the address.
+#[test]
+fn a_start_knows_which_engine_has_a_reused_address() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let address = &engines.addresses[0];
+    let mut trace = String::new();
+    for (earlier, new) in NAMES {
+        let earlier = endpoint(earlier, address, IN_SERVICE);
+        let in_order = vec![
+            snapshot_event(1, std::slice::from_ref(&earlier)),
+            update_event(2, &[endpoint(new, address, IN_SERVICE)]),
+            update_event(3, &[endpoint(new, address, TERMINATING)]),
+        ];
+        let new = started_now(new, address, TERMINATING);
+        let new_first = vec![snapshot_event(1, &[new.clone(), earlier.clone()])];
+        let new_last = vec![snapshot_event(1, &[earlier, new])];
+        for known in [in_order, new_first, new_last] {
+            let config = ProgramConfig::new(&engines, &bus.address).set("/known/batch", json!(known));
+            let program = Program::start_with(config);
+            trace += &submit(&engines, &mut program.connect(), 1);
+        }
+    }
+
+    expect![[r"
+        1: Busy w=1000, sent: false
+        1: Busy w=1000, sent: false
+        1: Busy w=1000, sent: false
+        1: Busy w=1000, sent: false
+        1: Busy w=1000, sent: false
+        1: Busy w=1000, sent: false
+    "]]
+    .assert_eq(&trace);
+}
+
+/// The earlier engine, on which a job is still in flight, is listed once more: by a change, or by a complete list in
+/// which it comes after the new one. This made it accept jobs again.
+#[test]
+fn an_engine_that_has_lost_its_address_accepts_no_jobs_when_it_is_listed_again() {
+    let mut trace = String::new();
+    for (earlier, new) in NAMES {
+        for complete in [false, true] {
+            let (engines, mut bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+            let address = &engines.addresses[0];
+            let earlier = endpoint(earlier, address, IN_SERVICE);
+            let known = std::slice::from_ref(&earlier);
+            let config = ProgramConfig::new(&engines, &bus.address).known_endpoints(known);
+            let program = Program::start_with(config);
+            let mut client = program.connect();
+            client.submit(1, "lookup", 20_000);
+            let in_flight = engines.next_line();
+            let new_running = started_now(new, address, IN_SERVICE);
+            if complete {
+                bus.send_update(2, &[]);
+                bus.send_snapshot(3, &[new_running, earlier]);
+            } else {
+                bus.send_update(2, &[new_running]);
+                bus.send_update(3, &[earlier]);
+            }
+            bus.send_update(4, &[endpoint(new, address, TERMINATING)]);
+            program.wait_for_log("endpoint list changed event=4 ");
+            trace += &submit(&engines, &mut client, 2);
+            in_flight.reply("HIT", "sheets=1", "");
+            writeln!(trace, "{}", client.next_answer().trim_end()).unwrap();
+        }
+    }
+
+    expect![[r"
+        2: Busy w=1000, sent: false
+        1: done
+        2: Busy w=1000, sent: false
+        1: done
+        2: Busy w=1000, sent: false
+        1: done
+        2: Busy w=1000, sent: false
+        1: done
+    "]]
+    .assert_eq(&trace);
+}
+
+/// An engine starts again at an address that had passed to another one. If it stayed closed, its capacity would be lost
+/// until the next start of the program.
+#[test]
+fn an_engine_that_starts_again_at_its_lost_address_gets_jobs() {
+    let (engines, mut bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let address = &engines.addresses[0];
+    let known = [endpoint("a", address, IN_SERVICE)];
+    let program = Program::start_with(ProgramConfig::new(&engines, &bus.address).known_endpoints(&known));
+    bus.send_update(2, &[started("b", address, IN_SERVICE, 1_000)]);
+    bus.send_update(3, &[started("a", address, IN_SERVICE, 2_000)]);
+    bus.send_update(4, &[endpoint("b", address, TERMINATED)]);
+    program.wait_for_log("endpoint list changed event=4 ");
+    let mut client = program.connect();
+
+    client.submit(1, "lookup", 9000);
+    engines.complete(1);
+
+    assert_eq!(client.next_answer(), "1: done ");
+}
