Memory that other clients use no longer ends connections with open requests

Cause: statements, results, unfinished messages and unread answers share one budget.

Change: a message that can't be buffered is discarded while it arrives, and with its last byte its request is rejected. The scanner that finds the end of messages can be resumed (FrameScanner). The permit of a job for its result passes to the connection with the answer, so an unread answer needs no further memory.

--- a/crates/server/src/client/admission.rs
+++ b/crates/server/src/client/admission.rs
@@ -58,6 +58,7 @@
             Outcome::Accepted
         }
         Message::Invalid { request_id, reason } => refuse_invalid(session, request_id, reason),
+        Message::Discarded(request_id) => reject_at_limit(session, request_id),
         Message::UnknownNotification => Outcome::Refused,
     })
 }
--- a/crates/server/src/client/close_reason.rs
+++ b/crates/server/src/client/close_reason.rs
@@ -22,9 +22,6 @@
     /// The received bytes are not of the client protocol.
     #[error(transparent)]
     Protocol(#[from] ProtocolError),
-    /// The budget of buffer bytes is exhausted.
-    #[error("no buffer memory left for an incomplete message")]
-    OutOfBufferBytes,
     /// No message, or only a part of one, was received within the time limit.
     #[error("idle, or a message was not completed in time")]
     Idle,
--- a/crates/server/src/client/connection.rs
+++ b/crates/server/src/client/connection.rs
@@ -1,6 +1,7 @@
 //! The state of a client connection that only the clients' thread uses.
 
 use super::closing::ClosingConnection;
+use super::discarded_message::DiscardedMessage;
 use super::idle::IdleLimits;
 use crate::limits::Permit;
 use crate::session::client_session::ClientSession;
@@ -13,6 +14,8 @@
     pub session: Arc<ClientSession>,
     /// The bytes of an incomplete message.
     pub received: Vec<u8>,
+    /// A message that is discarded instead of being buffered, until its last byte arrives.
+    pub discarded: Option<DiscardedMessage>,
     /// Permit for the received bytes beyond those that each connection may buffer without one.
     pub received_permit: Permit,
     /// Since when a message is expected. Before the first byte, since the connection was accepted; within a message,
@@ -45,6 +48,7 @@
         ClientConnection {
             session: Arc::new(session),
             received: Vec::new(),
+            discarded: None,
             received_permit,
             message_expected_since: Some(Instant::now()),
             accepted_in,
@@ -60,16 +64,21 @@
     pub fn excessive_silence(&self, limits: &IdleLimits) -> Option<Duration> {
         let idle_for = self.session.idle_for().filter(|_| self.closing.is_none())?;
         let (silent_for, limit) = match self.message_expected_since {
-            Some(since) if self.received.is_empty() => (since.elapsed(), limits.first_message),
-            Some(since) => (since.elapsed(), limits.rest_of_message),
+            Some(since) if self.is_inside_message() => (since.elapsed(), limits.rest_of_message),
+            Some(since) => (since.elapsed(), limits.first_message),
             None => (idle_for, limits.idle),
         };
         Some(silent_for).filter(|silent_for| *silent_for > limit)
     }
 
+    /// Whether a message has begun to arrive and is incomplete.
+    pub fn is_inside_message(&self) -> bool {
+        self.discarded.is_some() || !self.received.is_empty()
+    }
+
     /// Whether no request is open, the client has read all answers, and no message has begun.
     pub fn is_idle(&self) -> bool {
-        self.closing.is_none() && self.received.is_empty() && self.session.is_idle()
+        self.closing.is_none() && !self.is_inside_message() && self.session.is_idle()
     }
 
     /// Begins a graceful close: an incomplete message and all bytes that are received later are discarded.
@@ -78,6 +87,7 @@
         self.paused_until = None;
         self.message_expected_since = None;
         self.received = Vec::new();
+        self.discarded = None;
         self.received_permit.shrink_to(0);
     }
 }
--- a/crates/server/src/client/mod.rs
+++ b/crates/server/src/client/mod.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod connection;
 pub mod context;
+mod discarded_message;
 pub mod event_loop;
 mod idle;
 mod reading;
--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -4,6 +4,7 @@
 use super::close_reason::{CloseReason, ReadError};
 use super::connection::ClientConnection;
 use super::context::ClientContext;
+use super::discarded_message::DiscardedMessage;
 use crate::codec::client::{self as codec, Frame, Message, ProtocolError, RequestId};
 use crate::lifecycle::transient::is_transient_io_error;
 use crate::session::connection_failures::ConnectionError;
@@ -62,7 +63,7 @@
         let session = self.session.clone();
         let mut position = session.lock_read_position();
         let progress = self.read_and_process(context, buffer, arrived_at);
-        position.inside_message = !self.received.is_empty();
+        position.inside_message = self.is_inside_message();
         progress
     }
 
@@ -82,7 +83,7 @@
             self.paused_until = Some(Instant::now() + self.refusal_pause());
             return Ok(ReadProgress::Paused);
         }
-        if progress == ReadProgress::AllRead && self.received.is_empty() {
+        if progress == ReadProgress::AllRead && !self.is_inside_message() {
             self.check_cancellations();
         }
         Ok(progress)
@@ -135,15 +136,31 @@
             return closing.discard(bytes.len()).then_some(()).ok_or(CloseReason::LingerBytesExceeded);
         }
         self.session.record_activity();
-        if self.received.is_empty() {
+        if !self.is_inside_message() {
             self.message_expected_since = Some(Instant::now());
         }
         self.received.extend_from_slice(bytes);
         Ok(())
     }
 
-    /// Processes all messages that were received completely.
+    /// Processes all messages that were received completely. An incomplete one stays in the buffer, or is discarded if
+    /// there is no memory to buffer it.
     fn process_received(&mut self, context: &ClientContext, arrived_at: Timestamp) -> Result<(), ReadError> {
+        if let Some(message) = self.discard_received()? {
+            self.process_message(context, message, arrived_at)?;
+        }
+        if self.discarded.is_some() {
+            return Ok(());
+        }
+        self.process_buffered(context, arrived_at)?;
+        if !self.acquire_buffer() {
+            self.begin_discarding()?;
+        }
+        Ok(())
+    }
+
+    /// Processes all messages that are completely in the buffer.
+    fn process_buffered(&mut self, context: &ClientContext, arrived_at: Timestamp) -> Result<(), ReadError> {
         let ReceivedMessages { messages, length, error } = self.decode_received(&context.class_names);
         let last_cancellations = last_cancellations(&messages);
         for (position, message) in messages.into_iter().enumerate() {
@@ -151,15 +168,26 @@
                 counters::JOBS_ABANDONED.increment();
                 continue;
             }
-            match handle_message(context, &self.session, message, arrived_at)? {
-                Outcome::Accepted => self.consecutive_refusals = 0,
-                Outcome::Refused => self.consecutive_refusals += 1,
-            }
+            self.process_message(context, message, arrived_at)?;
         }
         if let Some(error) = error {
             return Err(error.into());
         }
-        self.remove_processed(length)
+        self.remove_processed(length);
+        Ok(())
+    }
+
+    fn process_message(
+        &mut self,
+        context: &ClientContext,
+        message: Message,
+        arrived_at: Timestamp,
+    ) -> Result<(), ReadError> {
+        match handle_message(context, &self.session, message, arrived_at)? {
+            Outcome::Accepted => self.consecutive_refusals = 0,
+            Outcome::Refused => self.consecutive_refusals += 1,
+        }
+        Ok(())
     }
 
     /// Decodes messages up to the first incomplete or invalid one.
@@ -197,24 +225,52 @@
             && !self.session.is_open(request.request_id)
     }
 
-    /// Removes the first `length` received bytes, and accounts for the remaining ones in the budget of buffer bytes.
-    fn remove_processed(&mut self, length: usize) -> Result<(), ReadError> {
+    /// Removes the first `length` received bytes, which are complete messages.
+    fn remove_processed(&mut self, length: usize) {
         self.received.drain(..length);
         if length > 0 {
-            self.received.shrink_to(SMALL_BUFFER_BYTES);
-            self.message_expected_since = None;
-            self.awaits_first_message = false;
-        }
-        if !self.received.is_empty() {
-            self.message_expected_since.get_or_insert_with(Instant::now);
+            self.record_message_end();
         }
+    }
+
+    /// Records that the last byte of a message was processed. Any received bytes are of the next one.
+    fn record_message_end(&mut self) {
+        self.received.shrink_to(SMALL_BUFFER_BYTES);
+        self.message_expected_since = (!self.received.is_empty()).then(Instant::now);
+        self.awaits_first_message = false;
+    }
+
+    /// Adjusts the permit to the incomplete message in the buffer. Returns false if the budget is exhausted.
+    fn acquire_buffer(&mut self) -> bool {
         let budgeted_bytes = self.received.len().saturating_sub(SMALL_BUFFER_BYTES);
-        if !self.received_permit.grow_to(budgeted_bytes) {
-            return Err(ReadError::Close(CloseReason::OutOfBufferBytes));
+        let granted = self.received_permit.grow_to(budgeted_bytes);
+        if granted {
+            self.received_permit.shrink_to(budgeted_bytes);
         }
-        self.received_permit.shrink_to(budgeted_bytes);
+        granted
+    }
+
+    /// Discards the incomplete message in the buffer, and the rest of it when that arrives.
+    fn begin_discarding(&mut self) -> Result<(), ReadError> {
+        tracing::debug!(bytes = self.received.len(), "no buffer memory left, incomplete message discarded");
+        self.discarded = Some(DiscardedMessage::new(&self.received));
+        let discarded = self.discard_received()?;
+        debug_assert!(discarded.is_none(), "the buffered message is incomplete");
+        self.received_permit.shrink_to(0);
         Ok(())
     }
+
+    /// Discards the received bytes of the message that is being discarded, if there is one. Returns the message once its
+    /// last byte was discarded.
+    fn discard_received(&mut self) -> Result<Option<Message>, ReadError> {
+        let Some(discarded) = &mut self.discarded else { return Ok(None) };
+        let is_complete = discarded.discard(&mut self.received)?;
+        // No memory is retained between reads, since it is not budgeted.
+        self.received.shrink_to_fit();
+        let Some(discarded) = self.discarded.take_if(|_| is_complete) else { return Ok(None) };
+        self.record_message_end();
+        Ok(Some(discarded.into_message()))
+    }
 }
 
 /// Whether a read error shows that the client has ended the connection, so that no answer can reach it any more.
--- a/crates/server/src/codec/client.rs
+++ b/crates/server/src/codec/client.rs
@@ -7,9 +7,9 @@
 mod encode;
 mod frame;
 
-pub use decode::{contains_cancellation, decode};
-pub use encode::encode;
-pub use frame::{Frame, MAX_MESSAGE_BYTES, frame};
+pub use decode::{contains_cancellation, decode, decode_request_id};
+pub use encode::{RESULT_OVERHEAD_BYTES, encode};
+pub use frame::{Frame, FrameScanner, MAX_MESSAGE_BYTES, ScanProgress, frame};
 
 use pebblevane::time::TimeDelta;
 use thiserror::Error;
@@ -57,6 +57,8 @@
         /// What is wrong with it.
         reason: InvalidRequest,
     },
+    /// A request that was discarded unread, because there was no memory for it.
+    Discarded(RequestId),
     /// A notification with an unknown method.
     UnknownNotification,
 }
@@ -66,7 +68,9 @@
     pub fn request_id(&self) -> Option<RequestId> {
         match self {
             Message::Submit(request) => Some(request.request_id),
-            Message::HealthCheck(request_id) | Message::Invalid { request_id, .. } => Some(*request_id),
+            Message::HealthCheck(request_id)
+            | Message::Discarded(request_id)
+            | Message::Invalid { request_id, .. } => Some(*request_id),
             Message::Cancel(_) | Message::UnknownNotification => None,
         }
     }
--- a/crates/server/src/codec/client/decode.rs
+++ b/crates/server/src/codec/client/decode.rs
@@ -29,6 +29,15 @@
     }
 }
 
+/// Decodes the id of a request from the beginning of its message; `None` if this is not the beginning of a request.
+pub fn decode_request_id(mut beginning: &[u8]) -> Option<RequestId> {
+    let rest = &mut beginning;
+    let parts = decode::read_array_len(rest).ok()?;
+    let message_type: u8 = decode::read_int(rest).ok()?;
+    let is_request = (message_type, parts) == (REQUEST_TYPE, REQUEST_PARTS);
+    is_request.then(|| decode::read_int(rest).ok().map(RequestId)).flatten()
+}
+
 /// Whether any of the messages in `bytes` cancels the request. The last message may be incomplete and is then ignored.
 pub fn contains_cancellation(mut bytes: &[u8], request_id: RequestId) -> bool {
     while let Frame::Complete(length) = frame(bytes) {
--- a/crates/server/src/codec/client/encode.rs
+++ b/crates/server/src/codec/client/encode.rs
@@ -11,7 +11,7 @@
 type WriteResult = Result<(), Box<dyn Error>>;
 
 /// An upper bound on the bytes of a reply in addition to the rows of its result.
-const RESULT_OVERHEAD_BYTES: usize = 32;
+pub const RESULT_OVERHEAD_BYTES: usize = 32;
 /// The usual size of a reply without rows.
 const USUAL_REPLY_BYTES: usize = 64;
 
--- a/crates/server/src/codec/client/frame.rs
+++ b/crates/server/src/codec/client/frame.rs
@@ -28,33 +28,77 @@
 
 /// Finds the end of the first message without decoding the message.
 pub fn frame(bytes: &[u8]) -> Frame {
-    match scan(bytes) {
-        Ok(Some(length)) => Frame::Complete(length),
-        Ok(None) => Frame::Incomplete,
+    match FrameScanner::default().scan(bytes) {
+        Ok(ScanProgress::Complete { scanned }) => Frame::Complete(scanned),
+        Ok(ScanProgress::Incomplete { .. }) => Frame::Incomplete,
         Err(error) => Frame::Invalid(error),
     }
 }
 
-/// The length of the first message in bytes, or `None` if the message is incomplete.
-fn scan(bytes: &[u8]) -> Result<Option<usize>, ProtocolError> {
-    let mut nesting = Nesting::default();
-    let (mut position, mut values) = (0, 0);
-    while nesting.expects_value() {
-        let Some(header) = ValueHeader::read(&bytes[position..])? else { return Ok(None) };
-        if position == 0 && !header.begins_message() {
+/// Finds the end of one message whose bytes arrive in parts. Bytes that have been scanned are not needed again.
+#[derive(Default)]
+pub struct FrameScanner {
+    nesting: Nesting,
+    /// The values whose headers have been read.
+    values: usize,
+    /// The length in bytes of these values.
+    length: usize,
+    /// The bytes of the last of these values that have not been scanned yet.
+    unscanned: usize,
+}
+
+/// How far a message has been scanned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ScanProgress {
+    /// The message ends after these bytes.
+    Complete {
+        /// How many bytes were scanned.
+        scanned: usize,
+    },
+    /// The message goes on after these bytes.
+    Incomplete {
+        /// How many bytes were scanned. Any others are the beginning of a header, and have to be scanned again with the
+        /// rest of it.
+        scanned: usize,
+    },
+}
+
+impl FrameScanner {
+    /// Scans the bytes that follow those scanned before.
+    ///
+    /// # Errors
+    /// If the bytes violate the protocol.
+    pub fn scan(&mut self, bytes: &[u8]) -> Result<ScanProgress, ProtocolError> {
+        let mut scanned = 0;
+        loop {
+            let available = self.unscanned.min(bytes.len() - scanned);
+            self.unscanned -= available;
+            scanned += available;
+            if self.unscanned > 0 {
+                return Ok(ScanProgress::Incomplete { scanned });
+            }
+            if !self.nesting.expects_value() {
+                return Ok(ScanProgress::Complete { scanned });
+            }
+            let Some(header) = ValueHeader::read(&bytes[scanned..])? else {
+                return Ok(ScanProgress::Incomplete { scanned });
+            };
+            self.add_value(&header)?;
+        }
+    }
+
+    fn add_value(&mut self, header: &ValueHeader) -> Result<(), ProtocolError> {
+        if self.values == 0 && !header.begins_message() {
             return Err(ProtocolError::NotAMessage);
         }
-        values += 1;
-        position += header.length;
-        if values > MAX_VALUES || position > MAX_MESSAGE_BYTES {
+        self.values += 1;
+        self.length += header.length;
+        if self.values > MAX_VALUES || self.length > MAX_MESSAGE_BYTES {
             return Err(ProtocolError::MessageTooLong);
         }
-        nesting.add_value(header.entries)?;
-        if position > bytes.len() {
-            return Ok(None);
-        }
+        self.unscanned = header.length;
+        self.nesting.add_value(header.entries)
     }
-    Ok(Some(position))
 }
 
 /// The number of values still expected at each level of nesting.
--- a/crates/server/src/job/task.rs
+++ b/crates/server/src/job/task.rs
@@ -1,6 +1,6 @@
 //! Runs one job in a thread of its own, from its first dispatch to its release.
 
-use crate::codec::client::Reply;
+use crate::codec::client::RESULT_OVERHEAD_BYTES;
 use crate::codec::engine::EngineMessage;
 use crate::engine::handle::DispatchEvent;
 use crate::job::admitted_job::AdmittedJob;
@@ -181,7 +181,8 @@
             self.in_flight = Some(dispatch);
             return;
         };
-        let memory_granted = self.job.memory.grow_to(self.job.statement.len() + result.received_bytes());
+        let answer_bytes = result.received_bytes() + RESULT_OVERHEAD_BYTES;
+        let memory_granted = self.job.memory.grow_to(self.job.statement.len() + answer_bytes);
         if !memory_granted || result.exceeds_limits() {
             self.finish(dispatch, &DispatchEnd::new(DispatchStatus::Failed));
             return;
@@ -192,7 +193,8 @@
             return;
         }
         // The client is answered before the controller is notified. The responder sends only the first answer.
-        if self.job.responder.respond(&Reply::Completed { rows: result.rows() }) {
+        let answer_memory = self.job.memory.split_off(self.job.statement.len());
+        if self.job.responder.respond_with_result(result.rows(), answer_memory) {
             counters::JOBS_COMPLETED.increment();
         }
         let end = DispatchEnd::new(DispatchStatus::Completed)
--- a/crates/server/src/limits/budget.rs
+++ b/crates/server/src/limits/budget.rs
@@ -46,6 +46,22 @@
         granted
     }
 
+    /// Moves what is held beyond `amount` to a new permit.
+    pub fn split_off(&mut self, amount: usize) -> Permit {
+        let excess = self.amount.saturating_sub(amount);
+        self.amount -= excess;
+        Permit { budget: self.budget.clone(), amount: excess }
+    }
+
+    /// Adds what another permit of the same budget holds.
+    ///
+    /// # Panics
+    /// If the other permit is of another budget.
+    pub fn merge(&mut self, mut other: Permit) {
+        assert!(Arc::ptr_eq(&self.budget, &other.budget), "the permits are of two budgets");
+        self.amount += std::mem::take(&mut other.amount);
+    }
+
     /// Returns the amount held beyond `amount` to the budget.
     pub fn shrink_to(&mut self, amount: usize) {
         let excess = self.amount.saturating_sub(amount);
--- a/crates/server/src/session/client_session.rs
+++ b/crates/server/src/session/client_session.rs
@@ -226,22 +226,26 @@
     }
 
     /// Answers an open request and returns true, or returns false if it has already been answered or cancelled. Every
-    /// answer to a job is written here.
-    pub fn respond(&self, request_id: RequestId, reply: &Reply) -> bool {
+    /// answer to a job is written here. `memory` is the job's permit for its result, if it has one.
+    pub fn respond(&self, request_id: RequestId, reply: &Reply, memory: Option<Permit>) -> bool {
         let mut requests = lock(&self.requests);
         let Some(open) = requests.by_id.remove(&request_id) else { return false };
         open.cancellation.cancel();
         requests.last_activity = Instant::now();
         // Written under the lock, so that a thread that finds no open request finds the answer written or buffered.
-        self.write(request_id, reply);
+        self.write_with(request_id, reply, memory);
         true
     }
 
-    /// Writes a reply, and buffers the part for which the socket buffer has no space.
+    /// Writes a reply without a result, and buffers the part for which the socket buffer has no space.
     pub fn write(&self, request_id: RequestId, reply: &Reply) {
+        self.write_with(request_id, reply, None);
+    }
+
+    fn write_with(&self, request_id: RequestId, reply: &Reply, memory: Option<Permit>) {
         let mut output = lock(&self.output);
         if !output.is_closed() {
-            self.report_write_error(output.write(codec::encode(request_id, reply), &self.stream));
+            self.report_write_error(output.write(codec::encode(request_id, reply), memory, &self.stream));
         }
     }
 
--- a/crates/server/src/session/responder.rs
+++ b/crates/server/src/session/responder.rs
@@ -6,6 +6,7 @@
 use crate::codec::client::{Reply, RequestId};
 use crate::lifecycle::clock;
 use crate::lifecycle::sync::lock;
+use crate::limits::Permit;
 use crate::telemetry::counters;
 use crate::telemetry::invariants::{self, Invariant};
 use pebblevane::interface::JobId;
@@ -66,8 +67,18 @@
     /// Answers the request and returns true, or returns false if it has already been answered or cancelled. The
     /// client's id of the job is released first, so that a client that has its answer may use the id again.
     pub fn respond(&self, reply: &Reply) -> bool {
+        self.respond_with(reply, None)
+    }
+
+    /// Answers the request with a result, as [`Responder::respond`] does. `memory` is the permit for the answer: the
+    /// part that the client does not read at once needs no further memory.
+    pub fn respond_with_result(&self, rows: &[u8], memory: Permit) -> bool {
+        self.respond_with(&Reply::Completed { rows }, Some(memory))
+    }
+
+    fn respond_with(&self, reply: &Reply, memory: Option<Permit>) -> bool {
         drop(lock(&self.reserved_id).take());
-        let responded = self.session.respond(self.request_id, reply);
+        let responded = self.session.respond(self.request_id, reply, memory);
         if responded {
             self.record_response(reply);
         }
--- a/crates/server/src/session/write_buffer.rs
+++ b/crates/server/src/session/write_buffer.rs
@@ -11,6 +11,10 @@
 /// A client that has not read all pending answers within this time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How many unwritten bytes need no permit: enough for an answer without a result to each request that may be open on a
+/// connection.
+const UNBUDGETED_BYTES: usize = 4096;
+
 /// The bytes of answers that have not been written to the socket yet.
 pub(super) struct WriteBuffer {
     unwritten: Vec<u8>,
@@ -35,14 +39,23 @@
         self.closed
     }
 
-    /// Appends a message, and writes as much as the socket buffer has space for.
+    /// Appends a message, and writes as much as the socket buffer has space for. `memory` is the permit that its sender
+    /// holds for the message, if any.
     ///
     /// # Errors
     /// As [`WriteBuffer::flush`].
-    pub fn write(&mut self, message: Vec<u8>, stream: &TcpStream) -> Result<(), ConnectionError> {
+    pub fn write(
+        &mut self,
+        message: Vec<u8>,
+        memory: Option<Permit>,
+        stream: &TcpStream,
+    ) -> Result<(), ConnectionError> {
         if self.unwritten.is_empty() {
             self.unwritten_since = Instant::now();
         }
+        if let Some(memory) = memory {
+            self.permit.merge(memory);
+        }
         self.unwritten.extend(message);
         self.flush(stream)
     }
@@ -68,7 +81,7 @@
         self.unwritten.drain(..written);
         self.unwritten.shrink_to(0);
         let remaining = self.unwritten.len();
-        if !self.permit.grow_to(remaining) {
+        if !self.permit.grow_to(remaining.saturating_sub(UNBUDGETED_BYTES)) {
             return Err(ConnectionError::OutOfBufferBytes);
         }
         self.permit.shrink_to(remaining);
--- a/crates/server/tests/server/client_codec.rs
+++ b/crates/server/tests/server/client_codec.rs
@@ -2,8 +2,8 @@
 
 use pebblevane::time::TimeDelta;
 use pebblevane_server::codec::client::{
-    FailureReason, Frame, InvalidRequest, MAX_MESSAGE_BYTES, Message, ProtocolError, Reply, RequestId,
-    contains_cancellation, decode, encode, frame,
+    FailureReason, Frame, FrameScanner, InvalidRequest, MAX_MESSAGE_BYTES, Message, ProtocolError, Reply,
+    RequestId, ScanProgress, contains_cancellation, decode, decode_request_id, encode, frame,
 };
 
 const REQUEST: &[u8] =
@@ -93,3 +93,29 @@
     assert!(!contains_cancellation(&bytes, RequestId(6)));
     assert!(!contains_cancellation(&bytes[..bytes.len() - 3], RequestId(7)), "an incomplete message");
 }
+
+#[test]
+fn the_end_of_a_message_is_found_in_parts_of_any_length() {
+    let bytes = [REQUEST, REQUEST].concat();
+    for part_length in 1..=bytes.len() {
+        let (mut scanner, mut scanned, mut received) = (FrameScanner::default(), 0, 0);
+        loop {
+            received = (received + part_length).min(bytes.len());
+            match scanner.scan(&bytes[scanned..received]).expect("a valid message") {
+                ScanProgress::Complete { scanned: last } => {
+                    scanned += last;
+                    break;
+                }
+                ScanProgress::Incomplete { scanned: more } => scanned += more,
+            }
+        }
+        assert_eq!(scanned, REQUEST.len(), "parts of {part_length} bytes");
+    }
+}
+
+#[test]
+fn the_id_of_a_request_is_decoded_from_its_beginning() {
+    assert_eq!(decode_request_id(&REQUEST[..3]), Some(RequestId(7)));
+    assert_eq!(decode_request_id(&REQUEST[..2]), None);
+    assert_eq!(decode_request_id(b"\x93\x02\xa6forget\x91\x07"), None, "a notification");
+}
--- a/crates/server/tests/server/main.rs
+++ b/crates/server/tests/server/main.rs
@@ -19,6 +19,7 @@
 mod engine_connections;
 mod event_bus;
 mod limits;
+mod memory_exhaustion;
 mod requests;
 mod resource_budgets;
 mod results;
--- a/crates/server/tests/server/resource_budgets.rs
+++ b/crates/server/tests/server/resource_budgets.rs
@@ -33,6 +33,20 @@
     assert!(budget.acquire(7).is_some());
 }
 
+#[test]
+fn permits_that_are_split_and_merged_hold_the_same_together() {
+    let budget = ResourceBudget::new(10);
+    let mut permit = budget.acquire(9).unwrap();
+    let mut other = permit.split_off(3);
+    assert!(budget.acquire(2).is_none());
+    drop(permit);
+    assert!(budget.acquire(5).is_none());
+    other.merge(budget.acquire(4).unwrap());
+    assert!(budget.acquire(1).is_none());
+    drop(other);
+    assert!(budget.acquire(10).is_some());
+}
+
 #[test]
 fn quotas_divide_the_limits() {
     let quotas = ResourceQuotas::from_limits(Limits { sockets: 1000, memory_mb: 64 });
