--- a/crates/server/src/decision/known_engine.rs
+++ b/crates/server/src/decision/known_engine.rs
@@ -9,6 +9,7 @@
 
 /// An engine that is listed as running or draining.
 pub(super) struct KnownEngine {
+    name: String,
     pub(super) handle: Arc<EngineHandle>,
     pub(super) address: SocketAddr,
     pub(super) start: Option<EngineStart>,
@@ -37,8 +38,14 @@
 impl KnownEngine {
     /// An engine whose first entry this is. `handle` is a new handle on it.
     pub(super) fn new(handle: Arc<EngineHandle>, first: &EndpointChange) -> KnownEngine {
-        let (address, start, lifecycle) = (first.address, first.start, first.endpoint.lifecycle);
-        KnownEngine { handle, address, start, lifecycle, displaced: false }
+        KnownEngine {
+            name: first.endpoint.name.clone(),
+            handle,
+            address: first.address,
+            start: first.start,
+            lifecycle: first.endpoint.lifecycle,
+            displaced: false,
+        }
     }
 
     /// Whether the entry is of this engine, rather than of another one of the same name.
@@ -72,6 +79,7 @@
     /// Records that a later engine has taken over the address. No further dispatches are sent, but those in flight may
     /// still finish.
     pub(super) fn displace(&mut self) {
+        tracing::info!(engine = %self.name, address = %self.address, "engine has lost its address to a later one");
         self.displaced = true;
         self.handle.engine_removed();
     }
