Soak: gateways start while the list has a dead engine and a new one at its address

The fault TakeAddresses listed the new engine and ended the old one at once, so no gateway ever started in between. Now every fourth gateway is killed there, and the end of the old engine is listed 0.8 s later.

--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -120,11 +120,16 @@
         Ok(())
     }
 
-    /// The engines that are listed after the first `offset` events, with the latest change of each.
+    /// The engines that are listed after the first `offset` events, with the latest change of each. A change that is no
+    /// start keeps the time of the last one.
     fn list(&self, offset: usize) -> Vec<Change> {
         let mut all: BTreeMap<usize, Change> = BTreeMap::new();
         for change in locked(&self.state).events[..offset].iter().flatten() {
-            all.insert(change.engine, *change);
+            let earlier = all.get(&change.engine).filter(|earlier| earlier.run == change.run);
+            let earlier_start = earlier.map_or(0, |earlier| earlier.started_at_ms);
+            let is_start = change.started_at_ms != 0;
+            let started_at_ms = if is_start { change.started_at_ms } else { earlier_start };
+            all.insert(change.engine, Change { started_at_ms, ..*change });
         }
         all.into_values().filter(|change| change.lifecycle != Lifecycle::Terminated).collect()
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -24,6 +24,10 @@
 /// its random choices.
 const IDLE_CLIENT: usize = 900;
 const MISBEHAVING_CLIENT: usize = 901;
+/// How much later the end of an engine that died silently is listed than the start of the next one at its address.
+const DEATH_NOTICE_DELAY: Duration = Duration::from_millis(800);
+/// Of so many gateways, one is killed while the list contains two engines at an address.
+const KILLED_GATEWAY_INTERVAL: usize = 4;
 
 /// Spawns one task for each fault. It waits until the fault starts, and ends when the fault ends.
 pub fn inject_all(testbed: &Arc<Testbed>) -> Vec<JoinHandle<()>> {
@@ -144,7 +148,7 @@
 }
 
 /// Ends engines and lists new ones with other names at the same addresses, before the old ones are listed as
-/// terminated.
+/// terminated. In between, some gateways are killed and start with a list that contains both.
 async fn take_addresses(testbed: &Arc<Testbed>, engines: &[usize]) {
     let old: Vec<_> = engines.iter().filter_map(|engine| testbed.engine(*engine)).collect();
     let mut changes = vec![];
@@ -157,6 +161,9 @@
         }
     }
     testbed.bus.publish(testbed, changes);
+    let killed = (0..testbed.gateways.len()).step_by(KILLED_GATEWAY_INTERVAL).collect();
+    restart_gateways(testbed, killed, true).await;
+    tokio::time::sleep(DEATH_NOTICE_DELAY).await;
     let terminated = old.iter().map(|old| Change::of(old, Lifecycle::Terminated, 0));
     testbed.bus.publish(testbed, terminated.collect());
 }
