--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client/mod.rs
@@ -1,20 +1,20 @@
 //! Clients: most send requests and wait for the answers; some cancel, disconnect, write slowly, stay idle or send
 //! malformed data. Every request that may become a job is recorded in the history.
 
+mod codec;
+mod connection;
+
 use crate::gateway::Phase;
 use crate::history::{GatewayRun, Request, RequestEnd};
-use crate::testbed::{Testbed, locked};
+use crate::testbed::Testbed;
+use codec::encode_request;
+use connection::Connection;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rmp::{decode, encode};
-use std::collections::HashMap;
-use std::io::Cursor;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::AsyncWriteExt;
 
 /// For how long after the start of a gateway's stop clients still open connections to it.
 const CONNECT_AFTER_STOP: Duration = Duration::from_millis(300);
@@ -52,25 +52,6 @@
     rng: ChaCha8Rng,
 }
 
-/// One connection to a gateway. A task reads its answers and records them in the history.
-struct Connection {
-    to: GatewayRun,
-    writer: OwnedWriteHalf,
-    open_requests: Arc<Mutex<OpenRequests>>,
-    reader: tokio::task::JoinHandle<()>,
-    /// The number of the next message.
-    next_message_number: u32,
-}
-
-/// The requests of a connection that have no answer yet.
-#[derive(Default)]
-struct OpenRequests {
-    /// Indices of the requests in the history, by message number.
-    request_indices: HashMap<u32, usize>,
-    /// Whether the connection has ended.
-    ended: bool,
-}
-
 impl Client {
     pub fn new(testbed: Arc<Testbed>, gateway: usize, number: usize) -> Client {
         let seed = testbed.schedule.seed ^ ((gateway * 1000 + number) as u64) << 20;
@@ -272,167 +253,3 @@
         drop(streams);
     }
 }
-
-impl Connection {
-    async fn open(testbed: &Arc<Testbed>, gateway: usize) -> std::io::Result<Connection> {
-        let to = testbed.run_of(gateway);
-        let stream = testbed.gateways[gateway].connect().await?;
-        let (reader, writer) = TcpStream::into_split(stream);
-        let open_requests: Arc<Mutex<OpenRequests>> = Arc::default();
-        let reading = read_answers(testbed.clone(), reader, open_requests.clone());
-        Ok(Connection { to, writer, open_requests, reader: tokio::spawn(reading), next_message_number: 1 })
-    }
-
-    /// Records a request whose last byte is about to be written. Returns its index in the history.
-    fn register(
-        &self,
-        testbed: &Testbed,
-        message_number: u32,
-        mut request: Request,
-    ) -> std::io::Result<usize> {
-        let mut open = locked(&self.open_requests);
-        if open.ended {
-            return Err(std::io::ErrorKind::BrokenPipe.into());
-        }
-        request.sent_at = testbed.history.now();
-        let request_index = testbed.history.record_request(request);
-        open.request_indices.insert(message_number, request_index);
-        Ok(request_index)
-    }
-
-    fn has_ended(&self) -> bool {
-        self.reader.is_finished()
-    }
-
-    /// Cancels a request.
-    async fn cancel(
-        &mut self,
-        testbed: &Testbed,
-        message_number: u32,
-        request_index: usize,
-    ) -> std::io::Result<()> {
-        let mut bytes = b"\x93\x02\xa6forget\x91".to_vec();
-        encode::write_uint(&mut bytes, message_number.into())
-            .map_err(|e| std::io::Error::other(e.to_string()))?;
-        self.writer.write_all(&bytes).await?;
-        testbed.history.record_request_end(request_index, RequestEnd::Abandoned);
-        Ok(())
-    }
-
-    /// Closes the connection with its requests open.
-    fn abandon(self, testbed: &Testbed) {
-        self.reader.abort();
-        for (_, request_index) in locked(&self.open_requests).request_indices.drain() {
-            testbed.history.record_request_end(request_index, RequestEnd::Abandoned);
-        }
-    }
-
-    /// Waits until all these requests have ended, a little longer than a client would.
-    async fn wait_for_answers(&self, requests: &[(u32, usize)]) {
-        let all_ended = async {
-            while requests.iter().any(|(message_number, _)| {
-                locked(&self.open_requests).request_indices.contains_key(message_number)
-            }) {
-                if self.has_ended() {
-                    return;
-                }
-                tokio::time::sleep(POLL_INTERVAL / 5).await;
-            }
-        };
-        let _ = tokio::time::timeout(MAX_ANSWER_WAIT + EXTRA_ANSWER_WAIT, all_ended).await;
-    }
-
-    async fn close(mut self) {
-        let _ = self.writer.shutdown().await;
-    }
-}
-
-fn encode_request(testbed: &Testbed, message_number: u32, request: &Request) -> Vec<u8> {
-    let class = &testbed.schedule.classes[request.class];
-    let timeout = request.timeout_ms.to_string();
-    let fields = [("i", request.id.as_str()), ("d", &timeout), ("h", "20.0"), ("mem", "16")];
-    let mut bytes = vec![0x94, 0];
-    // Writing to a vector can't fail.
-    let _ = encode::write_uint(&mut bytes, message_number.into());
-    let _ = encode::write_str(&mut bytes, &class.name);
-    let _ = encode::write_array_len(&mut bytes, 2);
-    let _ = encode::write_map_len(&mut bytes, fields.len() as u32);
-    for part in fields.iter().flat_map(|(name, value)| [name, value]) {
-        let _ = encode::write_str(&mut bytes, part);
-    }
-    let group = request.id.bytes().fold(0u32, |sum, byte| sum * 31 % 97 + u32::from(byte)) % 23;
-    let _ = encode::write_bin(&mut bytes, format!("select * from sales_{group}.orders").as_bytes());
-    bytes
-}
-
-/// Reads answers until the connection ends, and records them in the history. An answer to a request that has been
-/// answered is recorded as well.
-async fn read_answers(
-    testbed: Arc<Testbed>,
-    mut from: OwnedReadHalf,
-    open_requests: Arc<Mutex<OpenRequests>>,
-) {
-    let (mut bytes, mut buffer) = (Vec::new(), vec![0; 16 * 1024]);
-    // The indices of the requests that have been answered, by message number.
-    let mut answered: HashMap<u32, usize> = HashMap::new();
-    let reset = loop {
-        match from.read(&mut buffer).await {
-            Ok(0) => break false,
-            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            Err(_) => break true,
-        }
-        while let Some((length, message_number, end)) = decode_answer(&bytes) {
-            bytes.drain(..length);
-            let request_index = locked(&open_requests)
-                .request_indices
-                .remove(&message_number)
-                .or_else(|| answered.get(&message_number).copied());
-            if let Some(request_index) = request_index {
-                answered.insert(message_number, request_index);
-                testbed.history.record_request_end(request_index, end);
-            }
-        }
-    };
-    let mut open = locked(&open_requests);
-    open.ended = true;
-    for (_, request_index) in open.request_indices.drain() {
-        testbed.history.record_request_end(request_index, RequestEnd::Closed { reset });
-    }
-}
-
-/// The first answer, if it is complete: its length in bytes, its message number and the end that it means.
-fn decode_answer(bytes: &[u8]) -> Option<(usize, u32, RequestEnd)> {
-    let mut from = Cursor::new(bytes);
-    let text = |from: &mut Cursor<&[u8]>, length: u32| {
-        let start = from.position() as usize;
-        let text = bytes.get(start..start + length as usize)?;
-        from.set_position((start + length as usize) as u64);
-        Some(String::from_utf8_lossy(text).to_string())
-    };
-    decode::read_array_len(&mut from).ok()?;
-    decode::read_int::<u8, _>(&mut from).ok()?;
-    let message_number: u32 = decode::read_int(&mut from).ok()?;
-    let is_result = *bytes.get(from.position() as usize)? == 0xc0;
-    if is_result {
-        decode::read_nil(&mut from).ok()?;
-    }
-    decode::read_array_len(&mut from).ok()?;
-    let end = if is_result {
-        let length = decode::read_bin_len(&mut from).ok()?;
-        RequestEnd::Done { rows: text(&mut from, length)? }
-    } else {
-        let length = decode::read_str_len(&mut from).ok()?;
-        match text(&mut from, length)? {
-            why if why == "Busy" => RequestEnd::Busy,
-            reason => RequestEnd::Failed { reason },
-        }
-    };
-    for _ in 0..2 * decode::read_map_len(&mut from).ok()? {
-        let length = decode::read_str_len(&mut from).ok()?;
-        text(&mut from, length)?;
-    }
-    if !is_result {
-        decode::read_nil(&mut from).ok()?;
-    }
-    Some((from.position() as usize, message_number, end))
-}
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -11,7 +11,7 @@
 #[path = "../src/history.rs"]
 mod history;
 #[allow(dead_code)]
-#[path = "../src/schedule.rs"]
+#[path = "../src/schedule/mod.rs"]
 mod schedule;
 
 use answers::rows;
