--- a/crates/server/tests/server/reused_addresses.rs
+++ b/crates/server/tests/server/reused_addresses.rs
@@ -140,3 +140,22 @@
 
     assert_eq!(client.next_answer(), "1: done ");
 }
+
+/// A complete list contains two engines at one address, without their starts: the one that drains has ended, and the
+/// other has its address. If the place in the list decided, the capacity of the running one could be lost.
+#[test]
+fn of_two_engines_without_a_start_the_running_one_has_the_address() {
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let address = &engines.addresses[0];
+    let (draining, running) = (endpoint("a", address, TERMINATING), endpoint("b", address, IN_SERVICE));
+    for known in [[draining.clone(), running.clone()], [running, draining]] {
+        let config = ProgramConfig::new(&engines, &bus.address).known_endpoints(&known);
+        let program = Program::start_with(config);
+        let mut client = program.connect();
+
+        client.submit(1, "lookup", 9000);
+        engines.complete(1);
+
+        assert_eq!(client.next_answer(), "1: done ");
+    }
+}
