--- a/crates/server/tests/server/memory_exhaustion.rs
+++ b/crates/server/tests/server/memory_exhaustion.rs
@@ -173,6 +173,28 @@
     expect!["1: Busy w=1000"].assert_eq(&client.next_answer());
 }
 
+/// A stop closes connections on which nothing is open and no message has begun. A message of which the bytes so far were
+/// discarded has begun: its rest may be on the way, and its request must be answered.
+#[test]
+fn a_stop_waits_for_the_rest_of_a_discarded_message() {
+    /// After this time a stop closes the connections that it does not need.
+    const UNTIL_CONNECTIONS_CLOSE: Duration = Duration::from_millis(1300);
+    let setup = SmallBudget::start();
+    let mut client = setup.program.connect();
+    client.request_health(1);
+    assert_eq!(client.next_answer(), "1: well true");
+    let _fillers = Fillers::exhaust_memory(&setup.program);
+
+    let request = long_request(2, LONG_STATEMENT_BYTES);
+    client.send_raw(&request[..12_000]);
+    setup.wait_until_read();
+    setup.program.signal("TERM");
+    std::thread::sleep(UNTIL_CONNECTIONS_CLOSE);
+    client.send_raw(&request[12_000..]);
+
+    expect!["2: Busy w=1000"].assert_eq(&client.next_answer());
+}
+
 /// Messages that are discarded arrive slowly, on many connections. If their bytes were kept until the end, that memory
 /// would be beyond the budget.
 #[test]
--- a/crates/server/tests/server/reused_addresses.rs
+++ b/crates/server/tests/server/reused_addresses.rs
@@ -121,6 +121,26 @@
     .assert_eq(&trace);
 }
 
+/// An entry without a start comes between two entries with the same one. The second is no new start, so the engine must
+/// not get back the address that it has lost.
+#[test]
+fn an_entry_without_a_start_hides_no_earlier_one() {
+    let (engines, mut bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let address = &engines.addresses[0];
+    let known = [started("a", address, IN_SERVICE, 1_000)];
+    let program = Program::start_with(ProgramConfig::new(&engines, &bus.address).known_endpoints(&known));
+    bus.send_update(2, &[started("b", address, IN_SERVICE, 2_000)]);
+    bus.send_update(3, &[endpoint("a", address, IN_SERVICE)]);
+    bus.send_update(4, &[started("a", address, IN_SERVICE, 1_000)]);
+    bus.send_update(5, &[endpoint("b", address, TERMINATING)]);
+    program.wait_for_log("endpoint list changed event=5 ");
+
+    expect![[r"
+        1: Busy w=1000, sent: false
+    "]]
+    .assert_eq(&submit(&engines, &mut program.connect(), 1));
+}
+
 /// An engine starts again at an address that had passed to another one. If it stayed closed, its capacity would be lost
 /// until the next start of the program.
 #[test]
