--- a/review/9/trial.rs
+++ b/review/9/trial.rs
@@ -1,117 +1,121 @@
-//! Discovery that is slow to answer new connections: dispatches to an engine long after the gateway counts as told that
-//! it drains.
+//! The gateway stands still for a while, during which clients send a further request and then leave: dispatches that
+//! begin afterwards for jobs of clients that have left.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// How long the bus takes to say the first line on a new connection.
-const SLOW_MS: u64 = 2_000;
-/// What the bus has to tell counts as told 7 s later at the latest; the drain grace of the settings is 1 s, and each time
-/// limit is 50 ms longer on sockets.
-const TOLD_AFTER: Duration = Duration::from_millis(7_000);
-const DRAIN_GRACE: Duration = Duration::from_millis(1_000 + 50);
+/// Clients, each with a connection of its own.
+const CLIENTS: usize = 300;
+/// The clients leave in the order of multiples of this, which no order of theirs at the gateway follows.
+const LEAVING_STRIDE: usize = 127;
+/// How long the gateway stands still, and how often.
+const STALL_MS: u64 = 1_500;
+const ROUNDS: usize = 3;
+/// The time from one standstill to the next.
+const ROUND_MS: u64 = 3_000;
+/// An attempt that begins later than this after its client has gone is a break.
+const GRACE: Duration = Duration::from_millis(100);
 const TIMEOUT_MS: u32 = 4_000;
-/// The engine that drains is taken away this long after its drain was in the bus.
-const ENGINE_ENDS_AFTER_MS: u64 = 12_000;
-const TRAFFIC_MS: u64 = 14_000;
-const CLIENTS: usize = 8;
-/// The time of a run-once load at an engine.
-const LOAD_MS: u64 = 1_500;
+const RUN_MS: u64 = 50;
 
 fn main() {
     let play = Play::begin();
     let timers = Timers::start();
-    let engines: Vec<Engine> =
-        (0..2).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
+    let engines: Vec<Engine> = (0..2).map(|i| Engine::start(&play, &timers, &format!("e{i}"))).collect();
     let bus = Bus::start(&play);
-    let listed: Vec<Listed> =
-        engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address)).collect();
+    let listed = engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address));
     let settings = Settings {
         give_up_ms: TIMEOUT_MS,
-        aim_ms: 2_000,
-        ..Settings::new(bus.address, listed.clone())
+        aim_ms: 3_000,
+        reports: "piggyback",
+        gateways: 2,
+        cores: 16,
+        ..Settings::new(bus.address, listed.collect())
     };
+    // One of the two gateways stands still. The other one has little to do.
     let program = Program::start(&play, "n0", free_address(), &settings.json());
-    let address = program.address;
-    for engine in &engines {
-        engine.set_policy(|attempt| Service::Serve(if attempt.class == "load" { LOAD_MS } else { 20 }));
+    let other = Program::start(&play, "n1", free_address(), &settings.json().replace("\"Ordinal\":0", "\"Ordinal\":1"));
+    serve_some(&play, &program);
+    serve_some(&play, &other);
+
+    let mut gone: HashMap<String, Instant> = HashMap::new();
+    for _ in 0..ROUNDS {
+        let round_ends_at = Instant::now() + millis(ROUND_MS);
+        play_round(&play, &program, &engines, &mut gone);
+        std::thread::sleep(round_ends_at.saturating_duration_since(Instant::now()));
     }
-    let (ended, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-    let failed = Arc::new(AtomicUsize::new(0));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let (ended, served, failed) = (ended.clone(), served.clone(), failed.clone());
-            let class = if number % 4 == 0 { "load" } else { "lookup" };
-            std::thread::spawn(move || run_client(address, class, &ended, &served, &failed))
+    let attempts: Vec<Attempt> = engines.iter().flat_map(Engine::attempts).collect();
+    let late: Vec<String> = attempts
+        .iter()
+        .filter_map(|attempt| {
+            let gone_at = gone.get(&attempt.id)?;
+            let after = attempt.first_byte.checked_duration_since(*gone_at).filter(|after| *after > GRACE)?;
+            Some(format!(
+                "job {}: an attempt at {} began {:.0} ms after its client had closed its connection",
+                attempt.id,
+                attempt.engine,
+                after.as_secs_f64() * 1000.0
+            ))
         })
         .collect();
-    sleep_ms(2_000);
-    if play.trouble {
-        bus.set_mode(BusMode::SlowToAnswer(SLOW_MS));
-        bus.break_connections();
-        play.note("the bus ends its connections; from now on it says the first line on a new one after 2 s");
+    late.iter().for_each(|line| play.note(line));
+    let begun = attempts.iter().filter(|attempt| gone.contains_key(&attempt.id)).count();
+    play.note(&format!("of {} jobs, {begun} attempts began, {} of these too late", gone.len(), late.len()));
+    serve_some(&play, &other);
+    drop((program, other));
+    play.end(!late.is_empty(), &format!("{} attempts began more than 0.1 s after the client left", late.len()));
+}
+
+/// Some usual traffic first.
+fn serve_some(play: &Play, program: &Program) {
+    let mut client = Connection::open(program.address).unwrap();
+    for _ in 0..20 {
+        let sent = client.request("lookup", TIMEOUT_MS, 50).unwrap();
+        match client.arrivals.recv_timeout(Duration::from_secs(5)) {
+            Ok(Arrival::Answer { message, answer: Answer::Served(_), .. }) if message == sent.message => {}
+            other => cannot_run(&format!("the usual traffic is not served: {other:?}")),
+        }
     }
-    sleep_ms(500);
-    bus.publish(2, &[listed[0].with_state("terminating")]);
-    let published_at = Instant::now();
-    play.note("event 2 is in the bus: e0 drains");
-    sleep_ms(ENGINE_ENDS_AFTER_MS);
-    // Long after all gateways count as told, the engine that drains is taken away.
-    engines[0].end();
-    bus.publish(3, &[listed[0].with_state("terminated")]);
-    play.note("e0 has ended, and event 3 is in the bus: it is gone");
-    sleep_ms(TRAFFIC_MS - ENGINE_ENDS_AFTER_MS);
-    ended.store(true, SeqCst);
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    let late: Vec<f64> = engines[0]
-        .attempts()
-        .iter()
-        .filter(|attempt| attempt.first_byte > published_at + TOLD_AFTER + DRAIN_GRACE)
-        .map(|attempt| (attempt.first_byte - published_at).as_secs_f64())
+    play.note("usual traffic is served");
+}
+
+/// Jobs wait at the gateway; it stands still; their clients leave; it goes on. Adds to `gone` when the client of each
+/// job had closed its connection.
+fn play_round(play: &Play, program: &Program, engines: &[Engine], gone: &mut HashMap<String, Instant>) {
+    // Both engines are full for a moment, so that the next jobs wait at the gateway.
+    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Full));
+    let mut first = Connection::open(program.address).unwrap();
+    let _ = (first.request("lookup", TIMEOUT_MS, 50), first.request("lookup", TIMEOUT_MS, 50));
+    sleep_ms(15);
+    let mut clients: Vec<Connection> =
+        (0..CLIENTS).map(|_| Connection::open(program.address).unwrap()).collect();
+    let jobs: Vec<Sent> = clients
+        .iter_mut()
+        .map(|client| client.request("lookup", TIMEOUT_MS, 50).expect("a request on a new connection"))
         .collect();
-    let attempts = engines.iter().map(|engine| engine.attempts().len()).collect::<Vec<_>>();
-    play.note(&format!("served {}, attempts at e0 and e1: {attempts:?}", served.load(SeqCst)));
-    if let (Some(first), Some(last)) = (late.first(), late.last()) {
-        play.note(&format!(
-            "{} attempts at e0 began {first:.2} to {last:.2} s after its drain was in the bus",
-            late.len()
-        ));
+    play.note(&format!("{CLIENTS} clients have sent one request each"));
+    sleep_ms(40);
+    if play.trouble {
+        play.note("SIGSTOP: the gateway stands still");
+        program.signal("STOP");
     }
-    play.note(&format!("requests answered as failed: {}", failed.load(SeqCst)));
-    drop(program);
-    if served.load(SeqCst) == 0 || attempts[0] == 0 {
-        cannot_run("no usual traffic was served at the engine that drains");
+    let stalled_at = Instant::now();
+    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Serve(RUN_MS)));
+    sleep_ms(600);
+    // Each client sends one more request, and then gives up and closes its connection.
+    for number in (0..CLIENTS).map(|i| i * LEAVING_STRIDE % CLIENTS) {
+        let (client, job) = (&mut clients[number], &jobs[number]);
+        let _ = client.request("lookup", TIMEOUT_MS, 50);
+        client.close();
+        gone.insert(job.id.clone(), Instant::now());
     }
-    play.end(!late.is_empty(), &format!("{} dispatches to a draining engine, too late", late.len()));
-}
-
-/// Asks for one thing after another, with pauses of 0.2 s.
-fn run_client(
-    address: std::net::SocketAddr,
-    class: &str,
-    ended: &AtomicBool,
-    served: &AtomicUsize,
-    failed: &AtomicUsize,
-) {
-    let Some(mut client) = Connection::open(address) else { cannot_run("no connection") };
-    let mut group = 0;
-    while !ended.load(SeqCst) {
-        group += 1;
-        let statement = format!("select * from sales_{group}.orders");
-        let work_ms = if class == "load" { LOAD_MS as u32 } else { 20 };
-        if client.request_with(class, TIMEOUT_MS, work_ms, statement.as_bytes()).is_none() {
-            return;
-        }
-        let counter = match client.arrivals.recv_timeout(Duration::from_secs(5)) {
-            Ok(Arrival::Answer { answer: Answer::Served(_), .. }) => Some(served),
-            Ok(Arrival::Answer { answer: Answer::Failed(_), .. }) => Some(failed),
-            _ => None,
-        };
-        counter.map(|counter| counter.fetch_add(1, SeqCst));
-        sleep_ms(200);
+    play.note("all of them have sent another request and closed their connections");
+    std::thread::sleep(millis(STALL_MS).saturating_sub(stalled_at.elapsed()));
+    if play.trouble {
+        play.note("SIGCONT: the gateway goes on");
+        program.signal("CONT");
     }
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -489,6 +489,8 @@
     Serve(u64),
     /// Answers that it is full; it does not run the request.
     Full,
+    /// Runs the request for this time (ms); then its connection breaks off, and no answer comes.
+    RunAndBreakOff(u64),
 }
 
 /// A request that has come whole to an engine.
@@ -538,7 +540,20 @@
 
     /// As [`Engine::start`]; a `quiet` engine does not write each request to the record.
     pub fn start_with(play: &Arc<Play>, timers: &Arc<Timers>, name: &str, quiet: bool) -> Engine {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let engine = Engine::start_at(play, timers, name, quiet, any);
+        engine.unwrap_or_else(|e| cannot_run(&e.to_string()))
+    }
+
+    /// As [`Engine::start_with`], at this address.
+    pub fn start_at(
+        play: &Arc<Play>,
+        timers: &Arc<Timers>,
+        name: &str,
+        quiet: bool,
+        address: SocketAddr,
+    ) -> std::io::Result<Engine> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr().unwrap();
         let shared = Arc::new(EngineShared {
             ended: AtomicBool::new(false),
@@ -562,7 +577,7 @@
                 std::thread::spawn(move || serve_engine_connection(&shared, stream));
             }
         });
-        engine
+        Ok(engine)
     }
 
     pub fn set_policy(&self, policy: impl Fn(&Attempt) -> Service + Send + Sync + 'static) {
@@ -651,6 +666,14 @@
     let id = attempt.id;
     match service {
         Service::Full => answer(connection, &format!("{id} SHED - 0\r\n\r\n")),
+        Service::RunAndBreakOff(ms) => {
+            lock(&connection.open).insert(id.clone());
+            note_progress(shared, connection, &id, 0, ms);
+            let connection = connection.clone();
+            shared.timers.after(millis(ms), move || {
+                let _ = lock(&connection.stream).shutdown(Shutdown::Both);
+            });
+        }
         Service::Serve(ms) => {
             lock(&connection.open).insert(id.clone());
             note_progress(shared, connection, &id, 0, ms);
