--- a/review/8/trial.rs
+++ b/review/8/trial.rs
@@ -1,24 +1,22 @@
-//! The gateway stands still for a while and then finds more connections with a request than one wait for events tells:
-//! final answers that come long after the client's time.
+//! Clients leave in a burst and come back, at a deployment whose gateways can't cancel a dispatch: requests on new
+//! connections that the gateway does not accept for seconds.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const ENGINES: usize = 6;
-/// Clients, each with a connection of its own. Clients hold a third of the 1,024 descriptors at most.
-const CLIENTS: usize = 320;
-/// How long the gateway stands still, and when in that time the requests are written.
-const STALL_MS: u64 = 1_800;
-const WRITE_AFTER_MS: u64 = 150;
-/// How long four of five clients wait, which is less than half of the latency objective, and how long the others do.
-const SHORT_TIMEOUT_MS: u32 = 3_000;
-const TIMEOUT_MS: u32 = 20_000;
-/// The work that the clients' estimates name, on two threads, and the time that a report takes at a busy engine.
-const WORK_MS: u32 = 3_700;
-const RUN_MS: u64 = 2_800;
+const ENGINES: usize = 8;
+/// The descriptor limit of a gateway. Clients hold a third of it at most.
+const SOCKETS: u32 = 256;
+const REPORT_CLIENTS: usize = 60;
+const LOOKUP_CLIENTS: usize = 25;
+/// The time of a report at an engine on which others run too, its job timeout, and that of a lookup.
+const REPORT_MS: u64 = 4_900;
+const REPORT_TIMEOUT_MS: u32 = 20_000;
+const LOOKUP_TIMEOUT_MS: u32 = 2_500;
 /// A final answer that comes later than this after the client's time is lost.
 const LATE: Duration = Duration::from_millis(500);
 
@@ -27,83 +25,104 @@
     let timers = Timers::start();
     let engines: Vec<Engine> =
         (0..ENGINES).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
-    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Serve(RUN_MS)));
+    for engine in &engines {
+        engine.set_policy(|attempt| Service::Serve(if attempt.class == "report" { REPORT_MS } else { 80 }));
+    }
     let bus = Bus::start(&play);
     let listed = engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address));
     let settings = Settings {
-        aim_ms: 2_000,
-        give_up_ms: 25_000,
+        sockets: SOCKETS,
         gateways: 2,
-        cores: 12,
+        cancelling: false,
         ..Settings::new(bus.address, listed.collect())
     };
-    // One of the two gateways stands still.
     let program = Program::start(&play, "n0", free_address(), &settings.json());
     let second = settings.json().replace("\"Ordinal\":0", "\"Ordinal\":1");
     let other = Program::start(&play, "n1", free_address(), &second);
-    let mut clients: Vec<Connection> = (0..CLIENTS)
-        .map(|_| Connection::open(program.address).unwrap_or_else(|| cannot_run("no connection")))
-        .collect();
-    // So that the gateway has accepted all connections.
-    sleep_ms(500);
-    let stalled_at = Instant::now();
-    if play.trouble {
-        play.note("SIGSTOP: the gateway stands still");
-        program.signal("STOP");
+    assert!((REPORT_CLIENTS + LOOKUP_CLIENTS) * 3 <= SOCKETS as usize);
+
+    let mut reports: Vec<Connection> = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
+    let mut lookups: Vec<Connection> = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
+    for client in &mut lookups {
+        let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80).expect("a request on a new connection");
+        if await_answer(client, &sent, LOOKUP_TIMEOUT_MS).is_none() {
+            cannot_run("the usual traffic is not answered");
+        }
     }
-    sleep_ms(WRITE_AFTER_MS);
-    let requests: Vec<Sent> = clients
-        .iter_mut()
-        .enumerate()
-        .map(|(number, client)| {
-            let sent = client.request("report", timeout_ms(number), WORK_MS);
-            sent.unwrap_or_else(|| cannot_run("no request"))
-        })
-        .collect();
-    play.note(&format!("{CLIENTS} clients have written one request each; four of five wait for {SHORT_TIMEOUT_MS} ms"));
-    std::thread::sleep(millis(STALL_MS).saturating_sub(stalled_at.elapsed()));
+    for client in &mut reports {
+        client.request("report", REPORT_TIMEOUT_MS, 3_000).expect("a request on a new connection");
+    }
+    sleep_ms(1_000);
+    let running: usize = engines.iter().map(|engine| reports_in(&engine.attempts())).sum();
+    play.note(&format!("{REPORT_CLIENTS} clients have asked for reports, of which {running} run"));
     if play.trouble {
-        play.note("SIGCONT: the gateway goes on");
-        program.signal("CONT");
+        // All leave, and come back on new connections.
+        reports.iter().chain(&lookups).for_each(Connection::close);
+        play.note("all clients have closed their connections");
+        sleep_ms(200);
+        reports = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
+        for client in &mut reports {
+            let _ = client.request("report", REPORT_TIMEOUT_MS, 3_000);
+        }
+        lookups = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
+        play.note("as many clients have new connections; each has asked for a report or asks for a lookup now");
     }
-    let watchers: Vec<_> = clients
+    let waiting: Vec<_> = lookups
         .into_iter()
-        .zip(requests)
         .enumerate()
-        .map(|(number, (client, sent))| {
+        .map(|(number, mut client)| {
+            let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80);
             let play = play.clone();
-            std::thread::spawn(move || is_lost(&play, number, &client, &sent))
+            std::thread::spawn(move || watch(&play, number, &mut client, sent))
         })
         .collect();
-    let lost = watchers.into_iter().map(|watcher| watcher.join().unwrap()).filter(|lost| *lost).count();
-    let attempts: usize = engines.iter().map(|engine| engine.attempts().len()).sum();
-    play.note(&format!("attempts at all engines: {attempts}"));
+    let lost = waiting.into_iter().filter_map(|thread| thread.join().unwrap()).count();
     drop((program, other));
-    play.end(lost > 0, &format!("{lost} of {CLIENTS} requests got no answer in their time and 0.5 s more"));
+    play.end(lost > 0, &format!("{lost} of {LOOKUP_CLIENTS} lookups got no answer in their time"));
+}
+
+fn connect(address: SocketAddr) -> Connection {
+    Connection::open(address).unwrap_or_else(|| cannot_run("no connection"))
+}
+
+fn reports_in(attempts: &[Attempt]) -> usize {
+    attempts.iter().filter(|attempt| attempt.class == "report").count()
 }
 
-/// How long a client waits.
-fn timeout_ms(number: usize) -> u32 {
-    if number % 5 == 4 { TIMEOUT_MS } else { SHORT_TIMEOUT_MS }
+/// The answer to a request, if it comes before the client's time and the slack are over.
+fn await_answer(client: &Connection, sent: &Sent, timeout_ms: u32) -> Option<(Answer, Instant)> {
+    let deadline = sent.at + millis(timeout_ms.into()) + LATE;
+    match client.arrivals.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
+        Ok(Arrival::Answer { message, answer, at }) if message == sent.message => Some((answer, at)),
+        _ => None,
+    }
 }
 
-/// Waits for the answer and records it.
-fn is_lost(play: &Arc<Play>, number: usize, client: &Connection, sent: &Sent) -> bool {
-    let time_is_over = sent.at + millis(timeout_ms(number).into());
-    let patience = (time_is_over + Duration::from_secs(5)).saturating_duration_since(Instant::now());
-    match client.arrivals.recv_timeout(patience) {
+/// Waits for the answer to a lookup, and records it. Returns the request if it is lost.
+fn watch(play: &Arc<Play>, number: usize, client: &mut Connection, sent: Option<Sent>) -> Option<Sent> {
+    let Some(sent) = sent else {
+        play.note(&format!("lookup client {number}: the request could not be written"));
+        return None;
+    };
+    play.note_at(sent.at, &format!("lookup client {number}: request {} is written", sent.id));
+    if let Some((answer, at)) = await_answer(client, &sent, LOOKUP_TIMEOUT_MS) {
+        play.note_at(at, &format!("lookup client {number}: {answer:?}"));
+        return None;
+    }
+    play.note(&format!(
+        "lookup client {number}: no answer {:.0} ms after the request was written; it waited for {} ms",
+        sent.at.elapsed().as_secs_f64() * 1000.0,
+        LOOKUP_TIMEOUT_MS
+    ));
+    // What comes still, for the record alone.
+    match client.arrivals.recv_timeout(Duration::from_secs(8)) {
         Ok(Arrival::Answer { answer, at, .. }) => {
-            let lost = at > time_is_over + LATE;
-            let after = at.saturating_duration_since(sent.at).as_millis();
-            let word = if matches!(answer, Answer::Served(_)) { "served".into() } else { format!("{answer:?}") };
-            let (waits, note) = (timeout_ms(number), if lost { ": lost" } else { "" });
-            let text = format!("client {number}, which waits for {waits} ms: {word} after {after} ms{note}");
-            play.note_at(at, &text);
-            lost
+            play.note_at(at, &format!("lookup client {number}: too late: {answer:?}"));
         }
-        other => {
-            play.note(&format!("client {number}: no answer: {other:?}: lost"));
-            true
+        Ok(Arrival::Ended { at, how }) => {
+            play.note_at(at, &format!("lookup client {number}: the connection has ended: {how}"));
         }
+        Err(_) => play.note(&format!("lookup client {number}: still no answer")),
     }
+    Some(sent)
 }
