--- a/review/7/trial.rs
+++ b/review/7/trial.rs
@@ -1,117 +1,124 @@
-//! Bad clients that send requests of a class that does not exist, at full speed, beside usual ones: requests of usual
-//! clients that get no answer in their time.
+//! Discovery that is slow to answer new connections, while an engine is replaced by one of another cell at the same
+//! address: keyed jobs are applied in two cells, long after the gateway counts as told.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::collections::{BTreeMap, HashSet};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Connections of bad clients. With those of the usual ones they are less than a third of the 1,024 descriptors.
-const BAD_CONNECTIONS: usize = 200;
-const USUAL_CLIENTS: usize = 20;
-const TIMEOUT_MS: u32 = 2_500;
-const PLAY_MS: u64 = 12_000;
-/// A final answer that comes later than this after the client's time is lost; 50 ms of it are the slack on sockets.
-const LATE: Duration = Duration::from_millis(550);
-
-#[derive(Default)]
-struct Counts {
-    sent: AtomicUsize,
-    in_time: AtomicUsize,
-    lost: AtomicUsize,
-    refused_bad: AtomicUsize,
-}
+/// How long the bus takes to say the first line on a new connection.
+const SLOW_MS: u64 = 2_000;
+/// What the bus has to tell counts as told 7 s later at the latest, and each time limit is 50 ms longer on sockets. The
+/// loads are sent after that; the rest is for the measurement.
+const TOLD_AFTER_MS: u64 = 7_000 + 50 + 450;
+const CLIENTS: u32 = 24;
+const TIMEOUT_MS: u32 = 10_000;
+/// The time of a load at an engine.
+const RUN_MS: u64 = 600;
 
 fn main() {
     let play = Play::begin();
     let timers = Timers::start();
-    let engines: Vec<Engine> =
-        (0..6).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
-    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Serve(30)));
+    // Two engines of cell 0, and one of cell 1.
+    let old = Engine::start(&play, &timers, "a1");
+    let others = [Engine::start(&play, &timers, "c1"), Engine::start(&play, &timers, "d1")];
     let bus = Bus::start(&play);
-    let listed = engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address));
-    let settings = Settings::new(bus.address, listed.collect());
-    let program = Program::start(&play, "n0", free_address(), &settings.json());
-    let address = program.address;
-    let (counts, ended) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
-    let usual: Vec<_> = (0..USUAL_CLIENTS)
-        .map(|number| {
-            let (play, counts, ended) = (play.clone(), counts.clone(), ended.clone());
-            std::thread::spawn(move || ask_again_and_again(&play, number, address, &counts, &ended))
-        })
-        .collect();
-    sleep_ms(1_000);
+    let in_cell = |id: &str, engine: &Engine, cell| Listed { cell, ..Listed::new(id, engine.address) };
+    let listed = [in_cell("a1", &old, 0), in_cell("c1", &others[0], 0), in_cell("d1", &others[1], 1)];
+    let settings =
+        Settings { reports: "piggyback", cores: 16, ..Settings::new(bus.address, listed.to_vec()) };
+    // Loads carry a mark against repeats, which the engines of one cell drop for 12 s.
+    let configuration = settings.json().replace(
+        "\"Name\":\"load\",\"Semantics\":\"non_idempotent\",\"Group\":\"all\",\"DedupWindow\":5000.0",
+        "\"Name\":\"load\",\"Semantics\":\"idempotency_key\",\"Group\":\"cell\",\"DedupWindow\":12000.0",
+    );
+    let program = Program::start(&play, "n0", free_address(), &configuration);
+    sleep_ms(300);
     if play.trouble {
-        for _ in 0..BAD_CONNECTIONS {
-            send_at_full_speed(address, &counts, &ended);
-        }
-        play.note(&format!("{BAD_CONNECTIONS} connections send requests of an unknown class at full speed"));
+        bus.set_mode(BusMode::SlowToAnswer(SLOW_MS));
+        bus.break_connections();
+        play.note("the bus ends its connections; from now on it says the first line on a new one after 2 s");
     }
-    sleep_ms(PLAY_MS);
-    ended.store(true, SeqCst);
-    usual.into_iter().for_each(|client| client.join().unwrap());
-    let count = |counter: &AtomicUsize| counter.load(SeqCst);
-    play.note(&format!(
-        "requests of usual clients: {}, answered in time: {}, lost: {}; bytes of answers to bad clients: {}",
-        count(&counts.sent),
-        count(&counts.in_time),
-        count(&counts.lost),
-        count(&counts.refused_bad)
-    ));
-    let lost = count(&counts.lost);
+    sleep_ms(300);
+    old.end();
+    let new = replace(&play, &timers, &old);
+    let started_at_ms = unix_ms();
+    play.note("a1 of cell 0 has ended; b1 of cell 1 listens at its address");
+    sleep_ms(500);
+    bus.publish(2, &[listed[0].with_state("terminated"), Listed { started_at_ms, ..in_cell("b1", &new, 1) }]);
+    let published_at = Instant::now();
+    play.note("event 2 is in the bus: a1 is gone, b1 is in service");
+    // The connection of a load breaks off where it runs first.
+    let seen: Arc<Mutex<HashSet<String>>> = Arc::default();
+    for engine in [&new, &others[0], &others[1]] {
+        let seen = seen.clone();
+        engine.set_policy(move |attempt| {
+            let is_first = lock(&seen).insert(attempt.id.clone());
+            if is_first { Service::RunAndBreakOff(RUN_MS) } else { Service::Serve(RUN_MS) }
+        });
+    }
+    std::thread::sleep(millis(TOLD_AFTER_MS));
+    play.note(&format!("the event has been in the bus for {:.1} s", published_at.elapsed().as_secs_f64()));
+    let clients = send_loads(&play, program.address);
+    wait_for_answers(&play, clients);
+    sleep_ms(300);
     drop(program);
-    play.end(lost > 0, &format!("{lost} of {} requests of usual clients were lost", count(&counts.sent)));
+    let cells = BTreeMap::from([("c1", 0), ("d1", 1), ("b1", 1)]);
+    let mut runs: BTreeMap<String, Vec<(Instant, String)>> = BTreeMap::new();
+    for engine in [&new, &others[0], &others[1]] {
+        for attempt in engine.attempts() {
+            runs.entry(attempt.id).or_default().push((attempt.whole, attempt.engine));
+        }
+    }
+    let (mut twice, mut again) = (0, 0);
+    for (id, mut engines) in runs {
+        engines.sort();
+        let names: Vec<&str> = engines.iter().map(|(_, name)| name.as_str()).collect();
+        again += usize::from(names.len() > 1);
+        if names.iter().any(|name| cells[name] != cells[names[0]]) {
+            twice += 1;
+            play.note(&format!("load {id} ran at {names:?}, which are of different cells"));
+        }
+    }
+    play.note(&format!("loads that were sent again: {again}; outside the cell in which they ran first: {twice}"));
+    if again == 0 {
+        cannot_run("no load was sent again");
+    }
+    play.end(twice > 0, &format!("{twice} keyed loads took effect in two cells"));
 }
 
-/// One lookup at a time, on one connection after another.
-fn ask_again_and_again(play: &Play, number: usize, address: SocketAddr, counts: &Counts, ended: &AtomicBool) {
-    let mut client = Connection::open(address);
-    while !ended.load(SeqCst) {
-        let Some(connection) = &mut client else {
-            client = Connection::open(address);
-            continue;
-        };
-        let Some(sent) = connection.request("lookup", TIMEOUT_MS, 30) else {
-            client = None;
-            continue;
-        };
-        counts.sent.fetch_add(1, SeqCst);
-        let deadline = sent.at + millis(TIMEOUT_MS.into()) + LATE;
-        match connection.arrivals.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
-            Ok(Arrival::Answer { at, .. }) if at <= deadline => {
-                counts.in_time.fetch_add(1, SeqCst);
-                sleep_ms(100);
-            }
-            other => {
-                counts.lost.fetch_add(1, SeqCst);
-                let after = sent.at.elapsed().as_millis();
-                play.note(&format!("client {number}: request {} has no answer after {after} ms: {other:?}", sent.id));
-                connection.close();
-                client = None;
-            }
+/// Starts an engine at the address of one that has ended.
+fn replace(play: &Arc<Play>, timers: &Arc<Timers>, old: &Engine) -> Engine {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    loop {
+        match Engine::start_at(play, timers, "b1", false, old.address) {
+            Ok(engine) => return engine,
+            Err(e) if Instant::now() > deadline => cannot_run(&e.to_string()),
+            Err(_) => sleep_ms(5),
         }
     }
 }
 
-fn send_at_full_speed(address: SocketAddr, counts: &Arc<Counts>, ended: &Arc<AtomicBool>) {
-    let Ok(stream) = TcpStream::connect(address) else { cannot_run("no connection") };
-    let (mut reader, mut writer) = (stream.try_clone().unwrap(), stream);
-    let counts = counts.clone();
-    std::thread::spawn(move || {
-        let mut buffer = vec![0; 65_536];
-        while let Ok(count @ 1..) = reader.read(&mut buffer) {
-            counts.refused_bad.fetch_add(count, SeqCst);
+fn send_loads(play: &Play, address: std::net::SocketAddr) -> Vec<Connection> {
+    let send = |number: u32| {
+        let mut client = Connection::open(address).unwrap_or_else(|| cannot_run("no connection"));
+        let statement = format!("insert into sales_{number}.orders select * from staging.orders");
+        let sent = client.request_with("load", TIMEOUT_MS, 2 * RUN_MS as u32, statement.as_bytes());
+        sent.unwrap_or_else(|| cannot_run("no request"));
+        client
+    };
+    let clients = (0..CLIENTS).map(send).collect();
+    play.note(&format!("{CLIENTS} clients have asked for a load each"));
+    clients
+}
+
+fn wait_for_answers(play: &Play, clients: Vec<Connection>) {
+    for client in clients {
+        match client.arrivals.recv_timeout(millis(u64::from(TIMEOUT_MS) + 1_000)) {
+            Ok(Arrival::Answer { answer: Answer::Served(_), at, .. }) => play.note_at(at, "a load is served"),
+            other => play.note(&format!("a load is not served: {other:?}")),
         }
-    });
-    let ended = ended.clone();
-    std::thread::spawn(move || {
-        // [0, n, "x", []], a class that does not exist.
-        let bytes: Vec<u8> = (0..2_048u32).flat_map(|n| [0x94, 0, (n % 100) as u8 + 1, 0xa1, b'x', 0x90]).collect();
-        while !ended.load(SeqCst) && writer.write_all(&bytes).is_ok() {}
-        let _ = writer.shutdown(Shutdown::Both);
-    });
+    }
 }
--- a/review/8/trial.rs
+++ b/review/8/trial.rs
@@ -1,128 +1,117 @@
-//! Clients leave in a burst and come back, at a deployment whose gateways can't cancel a dispatch: requests on new
-//! connections that the gateway does not accept for seconds.
+//! Bad clients that send requests of a class that does not exist, at full speed, beside usual ones: requests of usual
+//! clients that get no answer in their time.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
-const ENGINES: usize = 8;
-/// The descriptor limit of a gateway. Clients hold a third of it at most.
-const SOCKETS: u32 = 256;
-const REPORT_CLIENTS: usize = 60;
-const LOOKUP_CLIENTS: usize = 25;
-/// The time of a report at an engine on which others run too, its job timeout, and that of a lookup.
-const REPORT_MS: u64 = 4_900;
-const REPORT_TIMEOUT_MS: u32 = 20_000;
-const LOOKUP_TIMEOUT_MS: u32 = 2_500;
-/// A final answer that comes later than this after the client's time is lost.
-const LATE: Duration = Duration::from_millis(500);
+/// Connections of bad clients. With those of the usual ones they are less than a third of the 1,024 descriptors.
+const BAD_CONNECTIONS: usize = 200;
+const USUAL_CLIENTS: usize = 20;
+const TIMEOUT_MS: u32 = 2_500;
+const PLAY_MS: u64 = 12_000;
+/// A final answer that comes later than this after the client's time is lost; 50 ms of it are the slack on sockets.
+const LATE: Duration = Duration::from_millis(550);
+
+#[derive(Default)]
+struct Counts {
+    sent: AtomicUsize,
+    in_time: AtomicUsize,
+    lost: AtomicUsize,
+    refused_bad: AtomicUsize,
+}
 
 fn main() {
     let play = Play::begin();
     let timers = Timers::start();
     let engines: Vec<Engine> =
-        (0..ENGINES).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
-    for engine in &engines {
-        engine.set_policy(|attempt| Service::Serve(if attempt.class == "report" { REPORT_MS } else { 80 }));
-    }
+        (0..6).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
+    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Serve(30)));
     let bus = Bus::start(&play);
     let listed = engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address));
-    let settings = Settings {
-        sockets: SOCKETS,
-        gateways: 2,
-        cancelling: false,
-        ..Settings::new(bus.address, listed.collect())
-    };
+    let settings = Settings::new(bus.address, listed.collect());
     let program = Program::start(&play, "n0", free_address(), &settings.json());
-    let second = settings.json().replace("\"Ordinal\":0", "\"Ordinal\":1");
-    let other = Program::start(&play, "n1", free_address(), &second);
-    assert!((REPORT_CLIENTS + LOOKUP_CLIENTS) * 3 <= SOCKETS as usize);
-
-    let mut reports: Vec<Connection> = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
-    let mut lookups: Vec<Connection> = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
-    for client in &mut lookups {
-        let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80).expect("a request on a new connection");
-        if await_answer(client, &sent, LOOKUP_TIMEOUT_MS).is_none() {
-            cannot_run("the usual traffic is not answered");
-        }
-    }
-    for client in &mut reports {
-        client.request("report", REPORT_TIMEOUT_MS, 3_000).expect("a request on a new connection");
-    }
+    let address = program.address;
+    let (counts, ended) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
+    let usual: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|number| {
+            let (play, counts, ended) = (play.clone(), counts.clone(), ended.clone());
+            std::thread::spawn(move || ask_again_and_again(&play, number, address, &counts, &ended))
+        })
+        .collect();
     sleep_ms(1_000);
-    let running: usize = engines.iter().map(|engine| reports_in(&engine.attempts())).sum();
-    play.note(&format!("{REPORT_CLIENTS} clients have asked for reports, of which {running} run"));
     if play.trouble {
-        // All leave, and come back on new connections.
-        reports.iter().chain(&lookups).for_each(Connection::close);
-        play.note("all clients have closed their connections");
-        sleep_ms(200);
-        reports = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
-        for client in &mut reports {
-            let _ = client.request("report", REPORT_TIMEOUT_MS, 3_000);
+        for _ in 0..BAD_CONNECTIONS {
+            send_at_full_speed(address, &counts, &ended);
         }
-        lookups = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
-        play.note("as many clients have new connections; each has asked for a report or asks for a lookup now");
+        play.note(&format!("{BAD_CONNECTIONS} connections send requests of an unknown class at full speed"));
     }
-    let waiting: Vec<_> = lookups
-        .into_iter()
-        .enumerate()
-        .map(|(number, mut client)| {
-            let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80);
-            let play = play.clone();
-            std::thread::spawn(move || watch(&play, number, &mut client, sent))
-        })
-        .collect();
-    let lost = waiting.into_iter().filter_map(|thread| thread.join().unwrap()).count();
-    drop((program, other));
-    play.end(lost > 0, &format!("{lost} of {LOOKUP_CLIENTS} lookups got no answer in their time"));
-}
-
-fn connect(address: SocketAddr) -> Connection {
-    Connection::open(address).unwrap_or_else(|| cannot_run("no connection"))
-}
-
-fn reports_in(attempts: &[Attempt]) -> usize {
-    attempts.iter().filter(|attempt| attempt.class == "report").count()
+    sleep_ms(PLAY_MS);
+    ended.store(true, SeqCst);
+    usual.into_iter().for_each(|client| client.join().unwrap());
+    let count = |counter: &AtomicUsize| counter.load(SeqCst);
+    play.note(&format!(
+        "requests of usual clients: {}, answered in time: {}, lost: {}; bytes of answers to bad clients: {}",
+        count(&counts.sent),
+        count(&counts.in_time),
+        count(&counts.lost),
+        count(&counts.refused_bad)
+    ));
+    let lost = count(&counts.lost);
+    drop(program);
+    play.end(lost > 0, &format!("{lost} of {} requests of usual clients were lost", count(&counts.sent)));
 }
 
-/// The answer to a request, if it comes before the client's time and the slack are over.
-fn await_answer(client: &Connection, sent: &Sent, timeout_ms: u32) -> Option<(Answer, Instant)> {
-    let deadline = sent.at + millis(timeout_ms.into()) + LATE;
-    match client.arrivals.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
-        Ok(Arrival::Answer { message, answer, at }) if message == sent.message => Some((answer, at)),
-        _ => None,
+/// One lookup at a time, on one connection after another.
+fn ask_again_and_again(play: &Play, number: usize, address: SocketAddr, counts: &Counts, ended: &AtomicBool) {
+    let mut client = Connection::open(address);
+    while !ended.load(SeqCst) {
+        let Some(connection) = &mut client else {
+            client = Connection::open(address);
+            continue;
+        };
+        let Some(sent) = connection.request("lookup", TIMEOUT_MS, 30) else {
+            client = None;
+            continue;
+        };
+        counts.sent.fetch_add(1, SeqCst);
+        let deadline = sent.at + millis(TIMEOUT_MS.into()) + LATE;
+        match connection.arrivals.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
+            Ok(Arrival::Answer { at, .. }) if at <= deadline => {
+                counts.in_time.fetch_add(1, SeqCst);
+                sleep_ms(100);
+            }
+            other => {
+                counts.lost.fetch_add(1, SeqCst);
+                let after = sent.at.elapsed().as_millis();
+                play.note(&format!("client {number}: request {} has no answer after {after} ms: {other:?}", sent.id));
+                connection.close();
+                client = None;
+            }
+        }
     }
 }
 
-/// Waits for the answer to a lookup, and records it. Returns the request if it is lost.
-fn watch(play: &Arc<Play>, number: usize, client: &mut Connection, sent: Option<Sent>) -> Option<Sent> {
-    let Some(sent) = sent else {
-        play.note(&format!("lookup client {number}: the request could not be written"));
-        return None;
-    };
-    play.note_at(sent.at, &format!("lookup client {number}: request {} is written", sent.id));
-    if let Some((answer, at)) = await_answer(client, &sent, LOOKUP_TIMEOUT_MS) {
-        play.note_at(at, &format!("lookup client {number}: {answer:?}"));
-        return None;
-    }
-    play.note(&format!(
-        "lookup client {number}: no answer {:.0} ms after the request was written; it waited for {} ms",
-        sent.at.elapsed().as_secs_f64() * 1000.0,
-        LOOKUP_TIMEOUT_MS
-    ));
-    // What comes still, for the record alone.
-    match client.arrivals.recv_timeout(Duration::from_secs(8)) {
-        Ok(Arrival::Answer { answer, at, .. }) => {
-            play.note_at(at, &format!("lookup client {number}: too late: {answer:?}"));
+fn send_at_full_speed(address: SocketAddr, counts: &Arc<Counts>, ended: &Arc<AtomicBool>) {
+    let Ok(stream) = TcpStream::connect(address) else { cannot_run("no connection") };
+    let (mut reader, mut writer) = (stream.try_clone().unwrap(), stream);
+    let counts = counts.clone();
+    std::thread::spawn(move || {
+        let mut buffer = vec![0; 65_536];
+        while let Ok(count @ 1..) = reader.read(&mut buffer) {
+            counts.refused_bad.fetch_add(count, SeqCst);
         }
-        Ok(Arrival::Ended { at, how }) => {
-            play.note_at(at, &format!("lookup client {number}: the connection has ended: {how}"));
-        }
-        Err(_) => play.note(&format!("lookup client {number}: still no answer")),
-    }
-    Some(sent)
+    });
+    let ended = ended.clone();
+    std::thread::spawn(move || {
+        // [0, n, "x", []], a class that does not exist.
+        let bytes: Vec<u8> = (0..2_048u32).flat_map(|n| [0x94, 0, (n % 100) as u8 + 1, 0xa1, b'x', 0x90]).collect();
+        while !ended.load(SeqCst) && writer.write_all(&bytes).is_ok() {}
+        let _ = writer.shutdown(Shutdown::Both);
+    });
 }
--- a/review/9/trial.rs
+++ b/review/9/trial.rs
@@ -1,83 +1,128 @@
-//! SIGTERM comes while the gateway stands still: it counts its stop from when it goes on, and the kill at the page's
-//! earliest finds requests without an answer.
+//! Clients leave in a burst and come back, at a deployment whose gateways can't cancel a dispatch: requests on new
+//! connections that the gateway does not accept for seconds.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const ENGINES: usize = 4;
-const REQUESTS: usize = 24;
-/// How long the clients wait, and the time of their jobs at an engine.
-const TIMEOUT_MS: u32 = 20_000;
-const RUN_MS: u64 = 12_000;
-/// How long the gateway stands still, and when in that time SIGTERM comes.
-const STALL_MS: u64 = 1_600;
-const TERM_AFTER_MS: u64 = 200;
-/// SIGKILL comes no sooner than this after SIGTERM: the longest deadline, counted as 3 s, and 0.7 s more.
-const KILL_AFTER: Duration = Duration::from_millis(3_700);
+const ENGINES: usize = 8;
+/// The descriptor limit of a gateway. Clients hold a third of it at most.
+const SOCKETS: u32 = 256;
+const REPORT_CLIENTS: usize = 60;
+const LOOKUP_CLIENTS: usize = 25;
+/// The time of a report at an engine on which others run too, its job timeout, and that of a lookup.
+const REPORT_MS: u64 = 4_900;
+const REPORT_TIMEOUT_MS: u32 = 20_000;
+const LOOKUP_TIMEOUT_MS: u32 = 2_500;
+/// A final answer that comes later than this after the client's time is lost.
+const LATE: Duration = Duration::from_millis(500);
 
 fn main() {
     let play = Play::begin();
     let timers = Timers::start();
     let engines: Vec<Engine> =
         (0..ENGINES).map(|i| Engine::start_with(&play, &timers, &format!("e{i}"), true)).collect();
-    engines.iter().for_each(|engine| engine.set_policy(|_| Service::Serve(RUN_MS)));
+    for engine in &engines {
+        engine.set_policy(|attempt| Service::Serve(if attempt.class == "report" { REPORT_MS } else { 80 }));
+    }
     let bus = Bus::start(&play);
     let listed = engines.iter().enumerate().map(|(i, engine)| Listed::new(&format!("e{i}"), engine.address));
-    let settings = Settings { give_up_ms: 25_000, gateways: 2, ..Settings::new(bus.address, listed.collect()) };
-    // One of the two gateways stands still, and is told to end.
-    let mut program = Program::start(&play, "n0", free_address(), &settings.json());
+    let settings = Settings {
+        sockets: SOCKETS,
+        gateways: 2,
+        cancelling: false,
+        ..Settings::new(bus.address, listed.collect())
+    };
+    let program = Program::start(&play, "n0", free_address(), &settings.json());
     let second = settings.json().replace("\"Ordinal\":0", "\"Ordinal\":1");
     let other = Program::start(&play, "n1", free_address(), &second);
-    let mut client = Connection::open(program.address).unwrap_or_else(|| cannot_run("no connection"));
-    let mut open = OpenRequests::new();
-    for number in 0..REQUESTS {
-        let class = if number % 2 == 0 { "load" } else { "report" };
-        let sent = client.request(class, TIMEOUT_MS, 6_000).unwrap_or_else(|| cannot_run("no request"));
-        open.insert(sent.message, sent);
+    assert!((REPORT_CLIENTS + LOOKUP_CLIENTS) * 3 <= SOCKETS as usize);
+
+    let mut reports: Vec<Connection> = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
+    let mut lookups: Vec<Connection> = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
+    for client in &mut lookups {
+        let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80).expect("a request on a new connection");
+        if await_answer(client, &sent, LOOKUP_TIMEOUT_MS).is_none() {
+            cannot_run("the usual traffic is not answered");
+        }
+    }
+    for client in &mut reports {
+        client.request("report", REPORT_TIMEOUT_MS, 3_000).expect("a request on a new connection");
     }
-    play.note(&format!("{REQUESTS} requests are written, whose clients wait for {TIMEOUT_MS} ms"));
     sleep_ms(1_000);
-    let stalled_at = Instant::now();
+    let running: usize = engines.iter().map(|engine| reports_in(&engine.attempts())).sum();
+    play.note(&format!("{REPORT_CLIENTS} clients have asked for reports, of which {running} run"));
     if play.trouble {
-        play.note("SIGSTOP: the gateway stands still");
-        program.signal("STOP");
+        // All leave, and come back on new connections.
+        reports.iter().chain(&lookups).for_each(Connection::close);
+        play.note("all clients have closed their connections");
+        sleep_ms(200);
+        reports = (0..REPORT_CLIENTS).map(|_| connect(program.address)).collect();
+        for client in &mut reports {
+            let _ = client.request("report", REPORT_TIMEOUT_MS, 3_000);
+        }
+        lookups = (0..LOOKUP_CLIENTS).map(|_| connect(program.address)).collect();
+        play.note("as many clients have new connections; each has asked for a report or asks for a lookup now");
     }
-    std::thread::sleep(millis(TERM_AFTER_MS));
-    program.signal("TERM");
-    let told_at = Instant::now();
-    play.note_at(told_at, "SIGTERM has been sent");
-    std::thread::sleep(millis(STALL_MS).saturating_sub(stalled_at.elapsed()));
-    if play.trouble {
-        play.note("SIGCONT: the gateway goes on");
-        program.signal("CONT");
+    let waiting: Vec<_> = lookups
+        .into_iter()
+        .enumerate()
+        .map(|(number, mut client)| {
+            let sent = client.request("lookup", LOOKUP_TIMEOUT_MS, 80);
+            let play = play.clone();
+            std::thread::spawn(move || watch(&play, number, &mut client, sent))
+        })
+        .collect();
+    let lost = waiting.into_iter().filter_map(|thread| thread.join().unwrap()).count();
+    drop((program, other));
+    play.end(lost > 0, &format!("{lost} of {LOOKUP_CLIENTS} lookups got no answer in their time"));
+}
+
+fn connect(address: SocketAddr) -> Connection {
+    Connection::open(address).unwrap_or_else(|| cannot_run("no connection"))
+}
+
+fn reports_in(attempts: &[Attempt]) -> usize {
+    attempts.iter().filter(|attempt| attempt.class == "report").count()
+}
+
+/// The answer to a request, if it comes before the client's time and the slack are over.
+fn await_answer(client: &Connection, sent: &Sent, timeout_ms: u32) -> Option<(Answer, Instant)> {
+    let deadline = sent.at + millis(timeout_ms.into()) + LATE;
+    match client.arrivals.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
+        Ok(Arrival::Answer { message, answer, at }) if message == sent.message => Some((answer, at)),
+        _ => None,
     }
-    while told_at.elapsed() < KILL_AFTER && !program.has_ended() {
-        sleep_ms(5);
+}
+
+/// Waits for the answer to a lookup, and records it. Returns the request if it is lost.
+fn watch(play: &Arc<Play>, number: usize, client: &mut Connection, sent: Option<Sent>) -> Option<Sent> {
+    let Some(sent) = sent else {
+        play.note(&format!("lookup client {number}: the request could not be written"));
+        return None;
+    };
+    play.note_at(sent.at, &format!("lookup client {number}: request {} is written", sent.id));
+    if let Some((answer, at)) = await_answer(client, &sent, LOOKUP_TIMEOUT_MS) {
+        play.note_at(at, &format!("lookup client {number}: {answer:?}"));
+        return None;
     }
-    let word = if program.has_ended() { "the gateway has ended by itself" } else { "SIGKILL" };
-    play.note(word);
-    program.kill();
-    while let Ok(arrival) = client.arrivals.recv_timeout(millis(500)) {
-        match arrival {
-            Arrival::Answer { message, answer, at } => {
-                let after = at.saturating_duration_since(told_at).as_millis();
-                play.note_at(at, &format!("message {message}: {answer:?}, {after} ms after SIGTERM"));
-                open.remove(&message);
-            }
-            Arrival::Ended { at, how } => {
-                play.note_at(at, &format!("the connection has ended: {how}"));
-                break;
-            }
+    play.note(&format!(
+        "lookup client {number}: no answer {:.0} ms after the request was written; it waited for {} ms",
+        sent.at.elapsed().as_secs_f64() * 1000.0,
+        LOOKUP_TIMEOUT_MS
+    ));
+    // What comes still, for the record alone.
+    match client.arrivals.recv_timeout(Duration::from_secs(8)) {
+        Ok(Arrival::Answer { answer, at, .. }) => {
+            play.note_at(at, &format!("lookup client {number}: too late: {answer:?}"));
         }
+        Ok(Arrival::Ended { at, how }) => {
+            play.note_at(at, &format!("lookup client {number}: the connection has ended: {how}"));
+        }
+        Err(_) => play.note(&format!("lookup client {number}: still no answer")),
     }
-    let mut lost: Vec<&Sent> = open.values().collect();
-    lost.sort_by_key(|sent| sent.message);
-    for sent in &lost {
-        play.note(&format!("message {} ({}), written at {:.0} ms: no answer", sent.message, sent.id, play.ms(sent.at)));
-    }
-    drop(other);
-    let count = lost.len();
-    play.end(count > 0, &format!("{count} of {REQUESTS} requests had no answer when SIGKILL came"));
+    Some(sent)
 }
