An event bus that is slow to send its first line is followed

All that rests on the endpoint list was wrong for as long as the bus was slow.

Cause: a connection had 1.5 s for its first line and 2.2 s for each later one, and was then closed for another one with the same limit. A bus that needs 2 s, or 3 s for a long list, was left by each connection before it answered. The log has "event bus connection lost", always with the same last_event.

Change: a timeout no longer ends the connection. Another is made beside it, at the pace of before, and the first that brings a complete line is kept. Four are open at most, and their incomplete lines share the memory of one. The bus thread polls its connections instead of blocking in one read; the address of the bus and the read position have files of their own. A limit that only grows would have told the list later than 7 s where two connections in a row are lost.

Tests: an_event_bus_that_is_slow_to_send_its_first_line_is_followed (start and reload), an_endpoint_list_that_arrives_slowly_is_read and a_silent_event_bus_is_sent_a_bounded_number_of_connections failed on (no event in 20 s; all connections but the last closed). Program::wait_for_log now has one limit for the whole wait: it never ended while other lines came.

--- a/crates/server/src/discovery/disconnect.rs
+++ b/crates/server/src/discovery/disconnect.rs
@@ -1,30 +1,27 @@
-//! Why a connection to the event bus was closed.
+//! Why a connection to the event bus was closed, or another one is made beside it.
 
 use std::io;
 
-/// Why a connection to the event bus was closed.
+/// Why a connection to the event bus was closed, or another one is made beside it.
 #[derive(Debug, thiserror::Error)]
 pub enum DisconnectReason {
     /// No connection could be made, or the subscription could not be sent.
     #[error("cannot connect: {0}")]
     CannotConnect(#[source] io::Error),
-    /// The system refused to set a read timeout.
-    #[error("cannot set the read timeout: {0}")]
-    CannotSetTimeout(#[source] io::Error),
-    /// No bytes were received in time, or reading failed.
-    #[error("no line received: {0}")]
+    /// Reading failed.
+    #[error("reading failed: {0}")]
     ReadFailed(#[source] io::Error),
     /// The bus has closed the connection.
     #[error("closed by the event bus")]
     ClosedByEventBus,
-    /// A line exceeds the maximum length.
+    /// The incomplete lines of all connections exceed the maximum length of a line.
     #[error("line longer than {max_bytes} bytes")]
     LineTooLong {
         /// The maximum length of a line, in bytes.
         max_bytes: usize,
     },
-    /// A line was begun but not completed in time.
-    #[error("line not completed in time")]
+    /// No complete line was received in time. The connection stays open in case that the bus is only slow.
+    #[error("no line received in time")]
     LineTimeout,
     /// A heartbeat names an event that was not received.
     #[error("event {last_event} was sent but not received")]
--- a/crates/server/src/discovery/follower.rs
+++ b/crates/server/src/discovery/follower.rs
@@ -1,15 +1,19 @@
 //! Follows the event bus: connects, subscribes to the events after the last one that was read, and reads them. The
 //! follower reconnects after a gap, when the connection is silent or has ended, and when the address changes.
 
-use crate::codec::event_bus::{self, Event, Line};
+use crate::codec::event_bus::Event;
+use crate::discovery::address::EventBusAddress;
 use crate::discovery::backoff::Backoff;
-use crate::discovery::connection::EventBusConnector;
 use crate::discovery::disconnect::DisconnectReason;
-use crate::discovery::line_reader::LineReader;
-use crate::lifecycle::clock;
-use crate::telemetry::counters;
+use crate::discovery::read_position::ReadPosition;
+use crate::discovery::subscription::SubscriptionId;
+use crate::discovery::subscriptions::{SubscriptionEvent, Subscriptions, WAKE_TOKEN};
+use crate::lifecycle::startup::retry_transient_errors;
+use mio::{Poll, Waker};
 use pebblevane::time::Timestamp;
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How long to wait for a complete line: two heartbeat intervals and some slack.
@@ -29,135 +33,161 @@
 }
 
 /// Follows the event bus. Its address may change while the program runs.
+///
+/// After a timeout the silent connection stays open, and another one is made beside it. The first connection that
+/// receives a complete line is kept. So a bus that takes long to answer is followed too, and a lost connection delays
+/// nothing.
 pub struct EventBusFollower {
-    connector: EventBusConnector,
-    max_line_bytes: usize,
+    address: Arc<EventBusAddress>,
+    /// The address of the open connections.
+    connected_address: SocketAddr,
+    subscriptions: Subscriptions,
+    position: ReadPosition,
+    backoff: Backoff,
+    deadline: Deadline,
+    attempt: ConnectAttempt,
 }
 
-/// How far the event bus has been read.
-struct ReadPosition {
-    /// The number of the last event that was read.
-    event: u64,
-    /// The event before the most recent gap.
-    gap_after: Option<u64>,
-    /// The last time at which the endpoint list was known to include all changes.
-    complete_at: Option<Timestamp>,
+/// What the follower does if no line is received until then.
+enum Deadline {
+    /// The connection counts as silent.
+    Line(Instant),
+    /// The next connection is made.
+    Connect(Instant),
 }
 
-impl EventBusFollower {
-    /// Creates a follower of the bus at this address, which reads lines of up to `max_line_bytes`.
-    pub fn new(address: SocketAddr, max_line_bytes: usize) -> EventBusFollower {
-        EventBusFollower { connector: EventBusConnector::new(address), max_line_bytes }
+/// The last attempt to connect.
+struct ConnectAttempt {
+    /// The last event that was read before it.
+    event_before: u64,
+    /// When a line was first received after it, on any connection.
+    first_line_at: Option<Instant>,
+}
+
+impl ConnectAttempt {
+    fn new(event_before: u64) -> ConnectAttempt {
+        ConnectAttempt { event_before, first_line_at: None }
     }
 
-    /// Changes the address, with immediate effect even while the follower reads, connects or pauses.
-    pub fn set_address(&self, address: SocketAddr) {
-        self.connector.set_address(address);
+    /// Whether events or enough lines were received that the next connection may be made without a longer pause.
+    fn was_useful(&self, last_event: u64) -> bool {
+        last_event > self.event_before || self.first_line_at.is_some_and(|at| at.elapsed() > LINE_TIMEOUT)
     }
+}
 
-    /// Follows the bus from the event after `last_event`, and never returns. `seed` determines the jitter of the pauses
-    /// between connections.
-    pub fn follow(&self, listener: &impl EndpointListener, last_event: u64, seed: u64) {
-        let mut position = ReadPosition { event: last_event, gap_after: None, complete_at: None };
-        let mut backoff = Backoff::new(seed);
-        loop {
-            let (event_before, started_at) = (position.event, Instant::now());
-            let reason = self.follow_connection(listener, &mut position);
-            self.connector.disconnected();
-            tracing::info!(reason = %reason, last_event = position.event, "event bus connection lost");
-            listener.connection_lost();
-            let was_useful = position.event > event_before || started_at.elapsed() > LINE_TIMEOUT;
-            if was_useful {
-                backoff.reset();
-            } else {
-                backoff.increase();
-            }
-            if self.connector.wait_for_address_change(backoff.next_pause()) {
-                backoff.reset();
-            }
-        }
+impl EventBusFollower {
+    /// Creates a follower of the bus at this address, which reads lines of up to `max_line_bytes`, from the event after
+    /// `last_event`. `seed` determines the jitter of the pauses between connections.
+    ///
+    /// # Errors
+    /// The system's error if it refuses a poller.
+    pub fn new(
+        address: SocketAddr,
+        max_line_bytes: usize,
+        last_event: u64,
+        seed: u64,
+    ) -> io::Result<EventBusFollower> {
+        let poll = retry_transient_errors(Poll::new)?;
+        let waker = retry_transient_errors(|| Waker::new(poll.registry(), WAKE_TOKEN))?;
+        Ok(EventBusFollower {
+            address: Arc::new(EventBusAddress::new(address, waker)),
+            connected_address: address,
+            subscriptions: Subscriptions::new(poll, max_line_bytes),
+            position: ReadPosition::after(last_event),
+            backoff: Backoff::new(seed),
+            deadline: Deadline::Connect(Instant::now()),
+            attempt: ConnectAttempt::new(last_event),
+        })
     }
 
-    /// Makes a connection and reads it until it has to be closed. Returns the reason.
-    fn follow_connection(
-        &self,
-        listener: &impl EndpointListener,
-        position: &mut ReadPosition,
-    ) -> DisconnectReason {
-        match self.connector.connect(position.event) {
-            Ok(stream) => self.read_lines(stream, listener, position),
-            Err(e) => DisconnectReason::CannotConnect(e),
-        }
+    /// The address of the bus, to change it.
+    pub fn address(&self) -> Arc<EventBusAddress> {
+        self.address.clone()
     }
 
-    fn read_lines(
-        &self,
-        stream: TcpStream,
-        listener: &impl EndpointListener,
-        position: &mut ReadPosition,
-    ) -> DisconnectReason {
-        let mut reader = LineReader::new(stream, self.max_line_bytes);
-        let mut timeout = FIRST_LINE_TIMEOUT;
+    /// Follows the bus, and never returns.
+    pub fn follow(&mut self, listener: &impl EndpointListener) {
         loop {
-            let handled = reader.read_line(timeout).and_then(|line| position.handle_line(&line, listener));
-            if let Err(reason) = handled {
-                return reason;
+            self.apply_address_change(listener);
+            let (Deadline::Line(deadline) | Deadline::Connect(deadline)) = self.deadline;
+            match self.subscriptions.next_event(deadline) {
+                SubscriptionEvent::Line { from, line } => self.handle_line(from, &line, listener),
+                SubscriptionEvent::Closed { was_newest, reason } => {
+                    self.handle_closed(was_newest, &reason, listener);
+                }
+                SubscriptionEvent::Elapsed => self.handle_deadline(listener),
+                SubscriptionEvent::Woken => {}
             }
-            timeout = LINE_TIMEOUT;
         }
     }
-}
 
-impl ReadPosition {
-    /// Handles one line. A malformed one is counted and ignored; if it was an event, the next line reveals the gap.
-    ///
-    /// # Errors
-    /// If the line shows that an event was missed.
-    fn handle_line(&mut self, line: &str, listener: &impl EndpointListener) -> Result<(), DisconnectReason> {
-        match event_bus::decode_line(line) {
-            Ok(Line::Heartbeat(last_event)) => self.handle_heartbeat(last_event),
-            Ok(Line::Event(event)) => self.handle_event(event, listener),
-            Err(error) => {
-                counters::MALFORMED_EVENTS.increment();
-                tracing::warn!(reason = %error, "malformed event bus line ignored");
-                Ok(())
-            }
+    /// Closes the connections to the previous address, and connects without a pause.
+    fn apply_address_change(&mut self, listener: &impl EndpointListener) {
+        let address = self.address.get();
+        if address == self.connected_address {
+            return;
         }
+        self.connected_address = address;
+        self.subscriptions.close_all();
+        self.backoff.reset();
+        self.deadline = Deadline::Connect(Instant::now());
+        tracing::info!(%address, last_event = self.position.event, "event bus address changed");
+        listener.connection_lost();
     }
 
-    fn handle_heartbeat(&mut self, last_event: u64) -> Result<(), DisconnectReason> {
-        if last_event > self.event {
-            return Err(DisconnectReason::EventMissed { last_event });
+    /// Handles a line. Its connection works, so the others are closed.
+    fn handle_line(&mut self, from: SubscriptionId, line: &[u8], listener: &impl EndpointListener) {
+        match self.position.handle_line(&String::from_utf8_lossy(line), listener) {
+            Ok(()) => {
+                self.subscriptions.keep_only(from);
+                self.attempt.first_line_at.get_or_insert_with(Instant::now);
+                self.deadline = Deadline::Line(Instant::now() + LINE_TIMEOUT);
+            }
+            Err(reason) => {
+                self.subscriptions.close(from);
+                self.reconnect(&reason, listener);
+            }
         }
-        self.complete_at = Some(clock::now());
-        Ok(())
     }
 
-    /// Passes a new event to the listener, and ignores one that was received before.
-    fn handle_event(
+    /// Handles the end of a connection. It matters only if the line of this connection was awaited.
+    fn handle_closed(
         &mut self,
-        event: Event,
+        was_newest: bool,
+        reason: &DisconnectReason,
         listener: &impl EndpointListener,
-    ) -> Result<(), DisconnectReason> {
-        if event.offset <= self.event {
-            return Ok(());
+    ) {
+        if was_newest && matches!(self.deadline, Deadline::Line(_)) {
+            self.reconnect(reason, listener);
+        } else {
+            tracing::info!(%reason, "silent event bus connection closed");
         }
-        if event.offset > self.event + 1 && !event.complete && self.record_if_new_gap() {
-            return Err(DisconnectReason::Gap { event: event.offset, previous: self.event });
+    }
+
+    fn handle_deadline(&mut self, listener: &impl EndpointListener) {
+        match self.deadline {
+            Deadline::Line(_) => self.reconnect(&DisconnectReason::LineTimeout, listener),
+            Deadline::Connect(_) => self.connect(listener),
         }
-        self.event = event.offset;
-        for error in &event.malformed {
-            counters::MALFORMED_EVENTS.increment();
-            tracing::warn!(event = event.offset, reason = %error, "malformed endpoint ignored");
+    }
+
+    fn connect(&mut self, listener: &impl EndpointListener) {
+        self.attempt = ConnectAttempt::new(self.position.event);
+        match self.subscriptions.connect(self.connected_address, self.position.event) {
+            Ok(()) => self.deadline = Deadline::Line(Instant::now() + FIRST_LINE_TIMEOUT),
+            Err(error) => self.reconnect(&DisconnectReason::CannotConnect(error), listener),
         }
-        listener.endpoints_changed(event, self.complete_at);
-        Ok(())
     }
 
-    /// Records a gap after the last event, and returns whether the gap is new. If the same gap is found again after
-    /// reconnecting, the bus no longer has the missing events. They are then skipped, since the follower would
-    /// otherwise reconnect forever.
-    fn record_if_new_gap(&mut self) -> bool {
-        self.gap_after.replace(self.event) != Some(self.event)
+    /// Schedules the next connection, after a pause that grows while the connections are of no use.
+    fn reconnect(&mut self, reason: &DisconnectReason, listener: &impl EndpointListener) {
+        tracing::info!(%reason, last_event = self.position.event, "event bus connection lost");
+        listener.connection_lost();
+        if self.attempt.was_useful(self.position.event) {
+            self.backoff.reset();
+        } else {
+            self.backoff.increase();
+        }
+        self.deadline = Deadline::Connect(Instant::now() + self.backoff.next_pause());
     }
 }
--- a/crates/server/src/server/reload.rs
+++ b/crates/server/src/server/reload.rs
@@ -6,7 +6,7 @@
 
 use super::environment_variable;
 use crate::config::Config;
-use crate::discovery::EventBusFollower;
+use crate::discovery::EventBusAddress;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 /// Reads the configuration on request while the program runs, and applies it.
 pub(super) struct ConfigReloader {
     config: Config,
-    event_bus: Arc<EventBusFollower>,
+    event_bus: Arc<EventBusAddress>,
     /// The failed reload that is being retried; `None` if the last one succeeded or is no longer retried.
     failure: Option<ReloadFailure>,
 }
@@ -31,7 +31,7 @@
 
 impl ConfigReloader {
     /// A reloader for a program that runs with this configuration.
-    pub fn new(config: Config, event_bus: Arc<EventBusFollower>) -> ConfigReloader {
+    pub fn new(config: Config, event_bus: Arc<EventBusAddress>) -> ConfigReloader {
         ConfigReloader { config, event_bus, failure: None }
     }
 
@@ -73,7 +73,7 @@
     fn apply(&mut self, new: &Config) {
         self.log_unapplied(new);
         tracing::info!(event_bus = %new.event_bus, "configuration reloaded");
-        self.event_bus.set_address(new.event_bus);
+        self.event_bus.set(new.event_bus);
         self.config.event_bus = new.event_bus;
     }
 
--- a/crates/server/src/server/startup.rs
+++ b/crates/server/src/server/startup.rs
@@ -9,7 +9,7 @@
 use crate::codec::event_bus::Event;
 use crate::config::Config;
 use crate::decision::ControllerHandle;
-use crate::discovery::EventBusFollower;
+use crate::discovery::{EventBusAddress, EventBusFollower};
 use crate::engine::registry::EngineRegistry;
 use crate::lifecycle::clock;
 use crate::lifecycle::shutdown::ShutdownState;
@@ -25,7 +25,8 @@
 /// The running service.
 pub(super) struct Service {
     pub controller: Arc<ControllerHandle>,
-    pub event_bus: Arc<EventBusFollower>,
+    /// The address of the event bus.
+    pub event_bus: Arc<EventBusAddress>,
     /// The address to which clients connect.
     pub address: SocketAddr,
     /// Receives a message once all client connections have ended.
@@ -102,17 +103,18 @@
     Ok(clients_closed)
 }
 
-/// Starts the thread that follows the event bus.
+/// Starts the thread that follows the event bus, and returns the address of the bus.
 fn start_event_bus(
     config: &Config,
     quotas: &ResourceQuotas,
     controller: Arc<ControllerHandle>,
-) -> Result<Arc<EventBusFollower>, ServerError> {
-    let event_bus = Arc::new(EventBusFollower::new(config.event_bus, quotas.event_line_bytes));
-    let follower = event_bus.clone();
-    let (last_event, seed) = (config.last_event, config.seed);
-    let follow = move || follower.follow(&*controller, last_event, seed);
+) -> Result<Arc<EventBusAddress>, ServerError> {
+    let (max_line_bytes, last_event, seed) = (quotas.event_line_bytes, config.last_event, config.seed);
+    let mut follower = EventBusFollower::new(config.event_bus, max_line_bytes, last_event, seed)
+        .map_err(ServerError::cannot("poll the event bus"))?;
+    let address = follower.address();
+    let follow = move || follower.follow(&*controller);
     threads::spawn_required("event bus", SMALL_STACK_BYTES, follow)
         .map_err(ServerError::cannot("start a thread"))?;
-    Ok(event_bus)
+    Ok(address)
 }
--- a/crates/server/tests/server/main.rs
+++ b/crates/server/tests/server/main.rs
@@ -25,5 +25,6 @@
 mod results;
 mod reused_addresses;
 mod shutdown;
+mod slow_event_bus;
 mod start_time_converter;
 mod support;
--- a/crates/server/tests/server/support/program.rs
+++ b/crates/server/tests/server/support/program.rs
@@ -149,9 +149,10 @@
     /// Waits for a log line that contains this text. Earlier lines are dropped.
     pub fn wait_for_log(&self, text: &str) -> String {
         let log = self.log.lock().unwrap();
+        let deadline = Instant::now() + RECEIVE_TIMEOUT;
         loop {
-            let line =
-                log.recv_timeout(RECEIVE_TIMEOUT).unwrap_or_else(|_| panic!("no log line with {text}"));
+            let left = deadline.saturating_duration_since(Instant::now());
+            let line = log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line with {text}"));
             if line.contains(text) {
                 return line;
             }
