Jobs whose clients have left keep no descriptors

Cause: the responder of each open job had a reference to its client's session, which holds the socket and its place among the client connections. Without cancellation a job lives until its engine answers. The log of a run on: 70 descriptors with 48 jobs in flight, and 70 a second after all their clients had left.

Change: the responder refers to the session weakly; the clients' thread alone keeps a connection.

Test: jobs_whose_clients_have_left_keep_no_descriptors failed on (no answer on a new connection in 20 s).

--- a/crates/server/src/client/admission.rs
+++ b/crates/server/src/client/admission.rs
@@ -144,7 +144,7 @@
     deadline: Timestamp,
 ) -> AdmittedJob {
     let class = &context.classes[request.class];
-    let responder = Responder::new(session.clone(), request.request_id, client_job_id, deadline);
+    let responder = Responder::new(session, request.request_id, client_job_id, deadline);
     let ledger = DispatchLedger::new(&request.client_job_id, class.retry_safety, deadline);
     AdmittedJob {
         responder: Arc::new(responder),
--- a/crates/server/src/session/responder.rs
+++ b/crates/server/src/session/responder.rs
@@ -11,7 +11,7 @@
 use crate::telemetry::invariants::{self, Invariant};
 use pebblevane::interface::JobId;
 use pebblevane::time::{TimeDelta, Timestamp};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, Weak};
 
 /// An answer that is later than the client's timeout by more than this counts as lost.
 const ANSWER_GRACE_PERIOD: TimeDelta = TimeDelta::from_millis(500);
@@ -19,7 +19,9 @@
 /// Answers one request, at most once. A registered request has to be answered before its responder is dropped, unless
 /// the client has cancelled it.
 pub struct Responder {
-    session: Arc<ClientSession>,
+    /// The connection, which its owner drops when it ends. A job may outlive its client, where its dispatch can't be
+    /// cancelled; it must not keep the descriptor then.
+    session: Weak<ClientSession>,
     request_id: RequestId,
     /// The client's own id of the job, for the log.
     client_job_id: Box<str>,
@@ -35,13 +37,13 @@
 impl Responder {
     /// Creates a responder for a request that is not registered yet. `deadline` is the end of the client's timeout.
     pub fn new(
-        session: Arc<ClientSession>,
+        session: &Arc<ClientSession>,
         request_id: RequestId,
         client_job_id: ReservedJobId,
         deadline: Timestamp,
     ) -> Responder {
         Responder {
-            session,
+            session: Arc::downgrade(session),
             request_id,
             client_job_id: client_job_id.as_str().into(),
             reserved_id: Mutex::new(Some(client_job_id)),
@@ -56,7 +58,10 @@
     pub fn register(&self, job: JobId) {
         // This fails only if the request is already registered, and a request is registered once.
         let _ = self.job.set(job);
-        self.session.open(self.request_id, job, self.cancellation.clone());
+        match self.session.upgrade() {
+            Some(session) => session.open(self.request_id, job, self.cancellation.clone()),
+            None => self.cancellation.cancel(),
+        }
     }
 
     /// Whether the request has been answered or cancelled.
@@ -78,7 +83,8 @@
 
     fn respond_with(&self, reply: &Reply, memory: Option<Permit>) -> bool {
         drop(lock(&self.reserved_id).take());
-        let responded = self.session.respond(self.request_id, reply, memory);
+        let session = self.session.upgrade();
+        let responded = session.is_some_and(|session| session.respond(self.request_id, reply, memory));
         if responded {
             self.record_response(reply);
         }
@@ -97,16 +103,17 @@
         }
     }
 
-    /// Whether the request is registered and neither answered nor cancelled.
-    fn is_open(&self) -> bool {
-        self.job.get().is_some_and(|job| self.session.is_open_for(self.request_id, *job))
+    /// The connection if the request is registered and neither answered nor cancelled.
+    fn session_if_open(&self) -> Option<Arc<ClientSession>> {
+        let job = self.job.get()?;
+        self.session.upgrade().filter(|session| session.is_open_for(self.request_id, *job))
     }
 }
 
 impl ClientLiveness for Responder {
     /// Also searches the bytes that were received from the client but not yet read for a cancellation.
     fn is_waiting(&self) -> bool {
-        if self.is_open() && self.session.apply_unread_cancellation(self.request_id) {
+        if self.session_if_open().is_some_and(|session| session.apply_unread_cancellation(self.request_id)) {
             tracing::debug!(job = %self.client_job_id, "job cancelled by unread bytes");
         }
         !self.is_finished()
@@ -115,7 +122,7 @@
 
 impl Drop for Responder {
     fn drop(&mut self) {
-        if self.is_open() {
+        if self.session_if_open().is_some() {
             invariants::report_violation(Invariant::Answered, &self.client_job_id);
         }
     }
--- a/crates/server/tests/server/limits.rs
+++ b/crates/server/tests/server/limits.rs
@@ -53,6 +53,32 @@
     });
 }
 
+/// At a deployment whose gateways can't cancel dispatches, jobs go on after their clients have left. If they kept the
+/// connections' descriptors, clients that connect again would not be accepted until the engines answer.
+#[test]
+fn jobs_whose_clients_have_left_keep_no_descriptors() {
+    const SOCKETS: u32 = 120;
+    /// The descriptors of client connections: two fifths of the limit.
+    const CLIENTS: u32 = 48;
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let config = ProgramConfig::new(&engines, &bus.address);
+    let config = config.socket_limit(SOCKETS).client_timeout_ms(60_000.0);
+    let program = Program::start_with(config.set("/settings/Ceilings/Cancelling", Json::Bool(false)));
+
+    let mut leaving: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
+    let mut running = Vec::new();
+    for (message, client) in (1..).zip(&mut leaving) {
+        client.submit(message, "lookup", 60_000);
+        running.push(engines.next_line());
+    }
+    drop(leaving);
+    let mut returning: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
+    for client in &mut returning {
+        client.request_health(1);
+        assert_eq!(client.next_answer(), "1: well true");
+    }
+}
+
 /// The system grants fewer descriptors than the configured limits, so that accepting fails. Waiting clients must be
 /// accepted once others have disconnected.
 #[test]
