Clients that send at full speed no longer delay others

Cause: a turn of a connection was up to 64 KB, some 11,000 requests, each refusal with a write of its own, and all connections had their turns before the sockets were polled again. The pause after refusals doesn't depend on their number; health checks and cancellations have none.

Test: clients_that_send_invalid_requests_at_full_speed_do_not_delay_others failed on (no request at the engine in 20 s), takes 0.2 s now.

--- a/crates/server/src/client/admission.rs
+++ b/crates/server/src/client/admission.rs
@@ -54,7 +54,7 @@
             Outcome::Accepted
         }
         Message::HealthCheck(request_id) => {
-            session.write(request_id, &Reply::Health(context.shutdown.is_healthy()));
+            session.write_deferred(request_id, &Reply::Health(context.shutdown.is_healthy()));
             Outcome::Accepted
         }
         Message::Invalid { request_id, reason } => refuse_invalid(session, request_id, reason),
@@ -72,7 +72,7 @@
 
 fn refuse_invalid(session: &ClientSession, request_id: RequestId, reason: InvalidRequest) -> Outcome {
     counters::INVALID_REQUESTS.increment();
-    session.write(request_id, &Reply::Failed { reason: FailureReason::InvalidRequest(reason) });
+    session.write_deferred(request_id, &Reply::Failed { reason: FailureReason::InvalidRequest(reason) });
     Outcome::Refused
 }
 
@@ -117,7 +117,7 @@
 /// Rejects a job without asking the controller. This is the only decision that the server makes itself.
 fn reject_at_limit(session: &ClientSession, request_id: RequestId) -> Outcome {
     counters::LOCAL_LIMIT_REJECTIONS.increment();
-    session.write(request_id, &Reply::Rejected { retry_after: LOCAL_LIMIT_RETRY_DELAY });
+    session.write_deferred(request_id, &Reply::Rejected { retry_after: LOCAL_LIMIT_RETRY_DELAY });
     Outcome::Refused
 }
 
--- a/crates/server/src/client/connection.rs
+++ b/crates/server/src/client/connection.rs
@@ -2,6 +2,7 @@
 
 use super::closing::ClosingConnection;
 use super::discarded_message::DiscardedMessage;
+use super::event_loop::turns::Priority;
 use super::idle::IdleLimits;
 use crate::limits::Permit;
 use crate::session::client_session::ClientSession;
@@ -27,6 +28,10 @@
     pub awaits_first_message: bool,
     /// Messages refused since the last accepted one.
     pub consecutive_refusals: u32,
+    /// Whether the connection waits for its turn to be read.
+    pub is_queued: bool,
+    /// With which priority it is queued next.
+    pub priority: Priority,
     /// Nothing is read before this time.
     pub paused_until: Option<Instant>,
     /// Set during a graceful close, in which received bytes are discarded.
@@ -54,6 +59,8 @@
             accepted_in,
             awaits_first_message: true,
             consecutive_refusals: 0,
+            is_queued: false,
+            priority: Priority::Usual,
             paused_until: None,
             closing: None,
         }
--- a/crates/server/src/client/event_loop/mod.rs
+++ b/crates/server/src/client/event_loop/mod.rs
@@ -1,12 +1,14 @@
 //! The thread that accepts, reads and closes all client connections.
 //!
-//! Each pass waits for events, reads the connections that have received something, accepts new connections, and runs
-//! the periodic tasks: closing idle connections, logging the counters, and advancing a shutdown.
+//! Each pass waits for events, reads connections that have received something, accepts new connections, and runs the
+//! periodic tasks: closing idle connections, logging the counters, and advancing a shutdown. If there is more to read
+//! than a pass has time for, the rest is read in the next passes.
 
 mod accept;
 mod close;
 mod evict;
 mod shutdown;
+pub(super) mod turns;
 
 use super::arrival_time::{ArrivalTimeEstimator, PollWait};
 use super::close_reason::{CloseReason, ReadError};
@@ -19,13 +21,14 @@
 use crate::telemetry::counters;
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token, Waker};
-use pebblevane::time::TimeDelta;
+use pebblevane::time::{TimeDelta, Timestamp};
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::ops::RangeFrom;
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use turns::{Priority, Turn, TurnQueue};
 
 /// How often idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -37,7 +40,8 @@
 const BUSY_POLL_TIMEOUT: Duration = Duration::from_millis(20);
 /// The maximum number of events that one poll returns.
 const MAX_EVENTS_PER_POLL: usize = 256;
-const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Small, so that one read returns a limited number of messages.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 const LISTENER_TOKEN: Token = Token(usize::MAX);
 const FAILURE_TOKEN: Token = Token(usize::MAX - 1);
 const READ_AND_WRITE: Interest = Interest::READABLE.add(Interest::WRITABLE);
@@ -59,6 +63,8 @@
     failures: Arc<ConnectionFailures>,
     /// Connections whose reading is paused.
     paused: Vec<ConnectionId>,
+    /// Connections that have received something and are not read yet.
+    turns: TurnQueue,
     unused_ids: RangeFrom<usize>,
     read_buffer: Vec<u8>,
     arrivals: ArrivalTimeEstimator,
@@ -96,6 +102,7 @@
             connections: HashMap::new(),
             failures: Arc::new(ConnectionFailures::new(waker)),
             paused: Vec::new(),
+            turns: TurnQueue::new(),
             unused_ids: 0..,
             read_buffer: vec![0; READ_BUFFER_BYTES],
             arrivals: ArrivalTimeEstimator::new(clock::now()),
@@ -135,12 +142,12 @@
         self.collect_ready(events)
     }
 
-    /// The time until the first paused connection can be read again, but not more than the usual timeout.
+    /// The time until the next queued or paused connection can be read, but not more than the usual timeout.
     fn poll_timeout(&self, is_shutting_down: bool) -> Duration {
         let timeout = if self.accept_pending || is_shutting_down { BUSY_POLL_TIMEOUT } else { POLL_TIMEOUT };
         let paused = self.paused.iter().filter_map(|id| self.connections.get(id)?.paused_until);
         let pauses = paused.map(|until| until.saturating_duration_since(Instant::now()));
-        pauses.min().map_or(timeout, |pause| pause.min(timeout))
+        pauses.chain(self.turns.next_turn_in()).min().map_or(timeout, |pause| pause.min(timeout))
     }
 
     fn collect_ready(&mut self, events: &Events) -> PollOutcome {
@@ -178,8 +185,9 @@
             self.handle_closed_by_client(id);
         }
         for id in outcome.ready {
-            self.read(id);
+            self.queue_turn(id);
         }
+        self.take_turns();
         if outcome.has_new_connections {
             self.accept();
         }
@@ -196,9 +204,49 @@
         }
     }
 
+    /// Queues a connection that has received something, unless it is queued already.
+    fn queue_turn(&mut self, id: ConnectionId) {
+        let earliest_arrival = self.earliest_arrival(id);
+        let Some(connection) = self.connections.get_mut(&id).filter(|connection| !connection.is_queued)
+        else {
+            return;
+        };
+        connection.is_queued = true;
+        self.turns.push(Turn { connection: id, earliest_arrival }, connection.priority);
+    }
+
+    /// Reads the queued connections one after another, until the time for the pass is over.
+    fn take_turns(&mut self) {
+        self.turns.begin_pass();
+        while let Some((turn, priority)) = self.turns.pop() {
+            let started_at = Instant::now();
+            if let Some(connection) = self.connections.get_mut(&turn.connection) {
+                connection.is_queued = false;
+            }
+            self.read_arrived(turn.connection, turn.earliest_arrival);
+            if priority == Priority::Low {
+                self.turns.record_low_priority_turn(started_at);
+            }
+        }
+    }
+
+    /// The earliest time at which the bytes that a connection has received in this pass can have arrived.
+    fn earliest_arrival(&self, id: ConnectionId) -> Timestamp {
+        let accepted_in = self.connections.get(&id).map(|connection| connection.accepted_in);
+        // Events that the first wait after the accept returned immediately may have arrived before the accept.
+        let accepted_before_wait =
+            accepted_in.filter(|accepted_in| accepted_in.number + 1 == self.pass.number);
+        let arrived_in = accepted_before_wait.filter(|_| self.returned_immediately);
+        arrived_in.unwrap_or(self.pass).earliest_arrival
+    }
+
     /// Reads and processes what a connection has received, unless its reading is paused.
     fn read(&mut self, id: ConnectionId) {
-        let pass = self.pass;
+        self.read_arrived(id, self.earliest_arrival(id));
+    }
+
+    /// As [`ClientEventLoop::read`], for bytes that can't have arrived before `earliest_arrival`.
+    fn read_arrived(&mut self, id: ConnectionId, earliest_arrival: Timestamp) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         if connection.paused_until.is_some() {
             return;
@@ -208,11 +256,8 @@
             // The next pass closes it, with the reason that was reported.
             return;
         }
-        // Events that the first wait after the accept returned immediately may have arrived before the accept.
-        let accepted_before_wait = connection.accepted_in.number + 1 == pass.number;
-        let arrived_in =
-            if accepted_before_wait && self.returned_immediately { connection.accepted_in } else { pass };
-        match connection.read(&self.context, &mut self.read_buffer, arrived_in.earliest_arrival) {
+        let progress = connection.read(&self.context, &mut self.read_buffer, earliest_arrival);
+        match progress {
             Ok(ReadProgress::AllRead) => {}
             Ok(ReadProgress::Paused) => self.paused.push(id),
             Ok(ReadProgress::MoreAvailable) => self.request_event(id),
--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -5,6 +5,7 @@
 use super::connection::ClientConnection;
 use super::context::ClientContext;
 use super::discarded_message::DiscardedMessage;
+use super::event_loop::turns::Priority;
 use crate::codec::client::{self as codec, Frame, Message, ProtocolError, RequestId};
 use crate::lifecycle::transient::is_transient_io_error;
 use crate::session::connection_failures::ConnectionError;
@@ -18,8 +19,11 @@
 /// How many bytes of an incomplete message need no permit of the budget. Also the buffer capacity that a connection
 /// retains when no message is incomplete.
 const SMALL_BUFFER_BYTES: usize = 4096;
-/// The maximum number of consecutive reads from one connection before the others are served.
-const MAX_CONSECUTIVE_READS: usize = 4;
+/// The maximum number of bytes of one connection that are read before the others are served.
+const MAX_BYTES_PER_TURN: usize = 64 * 1024;
+/// Reading stops once this many messages are complete, before the others are served. It is well above the number of
+/// messages that a client sends at once: one for each request that may be open, and their cancellations.
+const MAX_MESSAGES_PER_TURN: usize = 512;
 /// How long reading pauses after a refused message, multiplied by the number of consecutive refusals. Also the pause
 /// after a temporary read error.
 const BASE_PAUSE: Duration = Duration::from_millis(5);
@@ -78,7 +82,10 @@
             return Ok(progress);
         }
         let refusals_before = self.consecutive_refusals;
-        self.process_received(context, arrived_at)?;
+        let processed = self.process_received(context, arrived_at);
+        self.session.flush();
+        processed?;
+        self.priority = Priority::after_turn(self.consecutive_refusals, progress);
         if self.consecutive_refusals > refusals_before {
             self.paused_until = Some(Instant::now() + self.refusal_pause());
             return Ok(ReadProgress::Paused);
@@ -105,12 +112,17 @@
         BASE_PAUSE * self.consecutive_refusals.min(max_factor)
     }
 
-    /// Reads received bytes, up to a limit. During a graceful close they are discarded.
+    /// Reads received bytes, up to the limits of a turn. During a graceful close they are discarded.
     fn receive(&mut self, buffer: &mut [u8]) -> Result<ReadProgress, ReadError> {
-        for _ in 0..MAX_CONSECUTIVE_READS {
+        let mut turn = MessageCounter::default();
+        let mut received_bytes = 0;
+        while received_bytes < MAX_BYTES_PER_TURN {
             match self.session.stream().read(buffer) {
                 Ok(0) => return Err(ReadError::Abort(CloseReason::ClosedByClient)),
-                Ok(count) => self.keep_or_discard(&buffer[..count]).map_err(ReadError::Abort)?,
+                Ok(count) => {
+                    received_bytes += count;
+                    self.keep_or_discard(&buffer[..count]).map_err(ReadError::Abort)?;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(ReadProgress::AllRead),
                 Err(e) if is_reset_by_client(&e) => {
@@ -121,6 +133,9 @@
                 Err(e) if is_transient_io_error(&e) => return Ok(self.pause_reading()),
                 Err(e) => return Err(ReadError::Close(ConnectionError::from(e).into())),
             }
+            if self.discarded.is_none() && turn.count(&self.received) >= MAX_MESSAGES_PER_TURN {
+                break;
+            }
         }
         Ok(ReadProgress::MoreAvailable)
     }
@@ -273,6 +288,25 @@
     }
 }
 
+/// Counts the messages that are complete in a buffer to which bytes are appended.
+#[derive(Default)]
+struct MessageCounter {
+    messages: usize,
+    /// The total length of these messages in bytes.
+    length: usize,
+}
+
+impl MessageCounter {
+    /// The number of complete messages in `received`, which begins with the bytes of the previous call.
+    fn count(&mut self, received: &[u8]) -> usize {
+        while let Frame::Complete(length) = codec::frame(&received[self.length..]) {
+            self.messages += 1;
+            self.length += length;
+        }
+        self.messages
+    }
+}
+
 /// Whether a read error shows that the client has ended the connection, so that no answer can reach it any more.
 fn is_reset_by_client(error: &io::Error) -> bool {
     matches!(
--- a/crates/server/src/session/client_session.rs
+++ b/crates/server/src/session/client_session.rs
@@ -237,15 +237,19 @@
         true
     }
 
-    /// Writes a reply without a result, and buffers the part for which the socket buffer has no space.
-    pub fn write(&self, request_id: RequestId, reply: &Reply) {
-        self.write_with(request_id, reply, None);
+    /// Appends a reply without a result to the buffered answers. It is written with the next answer or
+    /// [`ClientSession::flush`], so that the replies to many messages need few system calls.
+    pub fn write_deferred(&self, request_id: RequestId, reply: &Reply) {
+        let mut output = lock(&self.output);
+        if !output.is_closed() {
+            self.report_write_error(output.write_deferred(&codec::encode(request_id, reply), &self.stream));
+        }
     }
 
     fn write_with(&self, request_id: RequestId, reply: &Reply, memory: Option<Permit>) {
         let mut output = lock(&self.output);
         if !output.is_closed() {
-            self.report_write_error(output.write(codec::encode(request_id, reply), memory, &self.stream));
+            self.report_write_error(output.write(&codec::encode(request_id, reply), memory, &self.stream));
         }
     }
 
--- a/crates/server/src/session/write_buffer.rs
+++ b/crates/server/src/session/write_buffer.rs
@@ -46,20 +46,33 @@
     /// As [`WriteBuffer::flush`].
     pub fn write(
         &mut self,
-        message: Vec<u8>,
+        message: &[u8],
         memory: Option<Permit>,
         stream: &TcpStream,
     ) -> Result<(), ConnectionError> {
-        if self.unwritten.is_empty() {
-            self.unwritten_since = Instant::now();
-        }
         if let Some(memory) = memory {
             self.permit.merge(memory);
         }
-        self.unwritten.extend(message);
+        self.append(message);
         self.flush(stream)
     }
 
+    /// Appends a message, and writes only if the unwritten bytes need a permit.
+    ///
+    /// # Errors
+    /// As [`WriteBuffer::flush`].
+    pub fn write_deferred(&mut self, message: &[u8], stream: &TcpStream) -> Result<(), ConnectionError> {
+        self.append(message);
+        if self.unwritten.len() > UNBUDGETED_BYTES { self.flush(stream) } else { Ok(()) }
+    }
+
+    fn append(&mut self, message: &[u8]) {
+        if self.unwritten.is_empty() {
+            self.unwritten_since = Instant::now();
+        }
+        self.unwritten.extend_from_slice(message);
+    }
+
     /// Writes as much as the socket buffer has space for.
     ///
     /// # Errors
--- a/crates/server/tests/server/client_connections.rs
+++ b/crates/server/tests/server/client_connections.rs
@@ -11,7 +11,11 @@
 use expect_test::expect;
 use pebblevane_syscall_faults::FaultKind;
 use std::fmt::Write as _;
-use std::time::Duration;
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::time::{Duration, Instant};
 
 /// Malformed input ends only its own connection. Others stay open, and jobs submitted there are still answered.
 #[test]
@@ -201,3 +205,34 @@
 
     assert!(end.contains("reason=Connection reset by peer"), "{end}");
 }
+
+/// Other clients send invalid requests at full speed and read the answers. One turn of such a connection must be short,
+/// and their turns together must leave time for the others, or a usual client gets no answer in its time.
+#[test]
+fn clients_that_send_invalid_requests_at_full_speed_do_not_delay_others() {
+    const BAD_CLIENTS: usize = 40;
+    const REQUESTS: u32 = 20;
+    /// A request of a class that does not exist, without parameters.
+    const INVALID_REQUEST: &[u8] = b"\x94\x00\x01\xa1x\x90";
+    let SingleEngine { engines, bus: _bus, program, mut client } = SingleEngine::start();
+    let ended = Arc::new(AtomicBool::new(false));
+
+    for _ in 0..BAD_CLIENTS {
+        let stream = TcpStream::connect(&program.address).unwrap();
+        let mut answers = stream.try_clone().unwrap();
+        std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+        let ended = ended.clone();
+        std::thread::spawn(move || {
+            let requests = INVALID_REQUEST.repeat(10_000);
+            while !ended.load(SeqCst) && (&stream).write_all(&requests).is_ok() {}
+        });
+    }
+    for message in 1..=REQUESTS {
+        let submitted_at = Instant::now();
+        client.submit(message, "lookup", 2000);
+        engines.complete(message);
+        assert_eq!(client.next_answer(), format!("{message}: done "));
+        assert!(submitted_at.elapsed() < Duration::from_secs(2), "{:?}", submitted_at.elapsed());
+    }
+    ended.store(true, SeqCst);
+}
