Memory of table groups is bounded

Cause: the count of each table group's jobs and the cached order of the engines for it are kept for 60 s after its last job; their number was bounded only by the rate of requests, and each order has one entry an engine.

Change: at most 16,384 groups are counted, the half longest without a job makes room; the cached orders have 1,048,576 entries together at most. Below these bounds no decision changes.

Test: state_of_ever_new_table_groups_is_bounded failed before (80,100 entries after 40,000 jobs).

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -8,6 +8,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Maximum number of engines in the cached orders of all table groups together. Clients choose the groups, so there may
+/// be any number of them.
+const MAX_CACHED_ORDER_ENTRIES: usize = 1024 * 1024;
+
 /// The known engines of the pool.
 #[derive(Default)]
 pub struct EnginePool {
@@ -20,6 +24,7 @@
     pub warming_up: Vec<EngineId>,
     /// Total number of cores of the running engines.
     pub running_cores: f64,
+    /// The cached order of each table group.
     engine_orders: BTreeMap<u64, Rc<[EngineId]>>,
 }
 
@@ -105,6 +110,10 @@
     /// The order in which a table group's jobs walk the running engines: by a hash of engine and group, and so the same
     /// at every gateway.
     pub fn engine_order(&mut self, table_group: u64) -> Rc<[EngineId]> {
+        let is_cached = self.engine_orders.contains_key(&table_group);
+        if !is_cached && (self.engine_orders.len() + 1) * self.running.len() > MAX_CACHED_ORDER_ENTRIES {
+            self.engine_orders.clear();
+        }
         let (running, engines) = (&self.running, &self.engines);
         let sorted = || {
             let mut order = running.clone();
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -11,6 +11,10 @@
 /// Time constant of the decay of the arrival rate.
 const ARRIVAL_TIME_CONSTANT: TimeDelta = TimeDelta::from_millis(5_000);
 
+/// Maximum number of table groups whose jobs are counted separately. Clients choose the groups, so there may be any
+/// number of them.
+const MAX_TABLE_GROUPS: usize = 16_384;
+
 /// Statistics of recently arrived jobs and recently dispatched work.
 ///
 /// The means of threads and memory are weighted with the jobs' run time, so that they describe a typical job in flight.
@@ -49,12 +53,28 @@
         self.memory_mb.add(now, WORK_TIME_CONSTANT, memory, job.run_ms);
         self.value_rate.add(now, WORK_TIME_CONSTANT, value_rate, job.work_ms);
         self.priority_weight.add(now, WORK_TIME_CONSTANT, value, 1.0);
-        let group = self.table_groups.entry(job.request.table_group).or_default();
-        group.add(now, WORK_TIME_CONSTANT, 0.0, 1.0);
+        self.count_job_of_table_group(now, job.request.table_group);
         self.jobs.add(now, WORK_TIME_CONSTANT, 0.0, 1.0);
         self.arrivals.add(now, ARRIVAL_TIME_CONSTANT, job.work_ms * class.spill_factor(), 1.0);
     }
 
+    fn count_job_of_table_group(&mut self, now: Timestamp, group: u64) {
+        if self.table_groups.len() >= MAX_TABLE_GROUPS && !self.table_groups.contains_key(&group) {
+            self.evict_older_half_of_table_groups();
+        }
+        self.table_groups.entry(group).or_default().add(now, WORK_TIME_CONSTANT, 0.0, 1.0);
+    }
+
+    /// Removes the half of the table groups that have been without a job for longest.
+    fn evict_older_half_of_table_groups(&mut self) {
+        let mut last_jobs: Vec<Timestamp> =
+            self.table_groups.values().map(DecayingAverage::updated_at).collect();
+        let middle = last_jobs.len() / 2;
+        let (_, median, _) = last_jobs.select_nth_unstable(middle);
+        let oldest_kept = *median;
+        self.table_groups.retain(|_, group| group.updated_at() > oldest_kept);
+    }
+
     /// Adds work that is dispatched.
     pub fn observe_dispatch(&mut self, now: Timestamp, work_ms: f64) {
         self.dispatched_work.add(now, WORK_TIME_CONSTANT, work_ms, 1.0);
--- a/tests/decisions/state_eviction.rs
+++ b/tests/decisions/state_eviction.rs
@@ -48,3 +48,25 @@
     "]]
     .assert_eq(&trace);
 }
+
+/// Guards against memory that grows with the number of table groups, which clients choose freely: here each job has
+/// another one, at a rate at which none is evicted for its age. The limits are 16,384 counted groups, and 1,048,576
+/// engines in the cached orders, which are 10,485 groups at 100 engines.
+#[test]
+fn state_of_ever_new_table_groups_is_bounded() {
+    const ENGINES: usize = 100;
+    const MAX_COUNTED_GROUPS: usize = 16_384;
+    const MAX_CACHED_ORDERS: usize = 10_485;
+    let mut harness = ControllerHarness::builder().engines(ENGINES as u32).build();
+    let before = harness.retained_entries();
+
+    let mut most = 0;
+    for group in 0..40_000 {
+        let job = harness.submit(lookup(group));
+        harness.complete(job, 1.0);
+        most = most.max(harness.retained_entries());
+    }
+
+    assert!(most > before + MAX_CACHED_ORDERS, "{most} entries: the groups are not counted");
+    assert!(most <= before + MAX_COUNTED_GROUPS + MAX_CACHED_ORDERS, "{most} entries");
+}
