The id of a job that may have run is not run again after its client has left

What callers saw: a run-once load ran twice.

Cause: an id was known only while its job was open. A client that leaves ends the job, and the id was free once the dispatch was cancelled, though the engine may have run it.

The ledger moves from engine/ to session/, which now uses it.

Tests: a_job_that_may_have_run_is_not_run_again_after_its_client_has_left (close, cancel, reset; run-once and keyed) and a_job_that_was_answered_is_run_again_only_if_that_is_harmless failed on. a_job_that_never_ran_may_be_submitted_again held before and holds now; the_number_of_retained_ids_is_bounded is of new code.

--- a/crates/server/src/client/admission.rs
+++ b/crates/server/src/client/admission.rs
@@ -7,12 +7,12 @@
 };
 use crate::codec::sql;
 use crate::decision::LOCAL_LIMIT_RETRY_DELAY;
-use crate::engine::dispatch_ledger::DispatchLedger;
 use crate::job::{AdmittedJob, RESERVED_RESULT_BYTES};
 use crate::lifecycle::clock;
 use crate::limits::Permit;
-use crate::session::client_job_ids::ReservedJobId;
+use crate::session::client_job_ids::{ReservationError, ReservedJobId};
 use crate::session::client_session::ClientSession;
+use crate::session::dispatch_ledger::DispatchLedger;
 use crate::session::responder::Responder;
 use crate::telemetry::counters;
 use pebblevane::interface::Job;
@@ -83,8 +83,9 @@
     request: ClientRequest,
     arrived_at: Timestamp,
 ) -> Outcome {
-    let Some(client_job_id) = context.client_job_ids.reserve(&request.client_job_id) else {
-        return refuse_invalid(session, request.request_id, InvalidRequest::DuplicateJobId);
+    let client_job_id = match context.client_job_ids.reserve(&request.client_job_id) {
+        Ok(client_job_id) => client_job_id,
+        Err(error) => return refuse_invalid(session, request.request_id, id_in_use(error)),
     };
     let Some(permits) = acquire_permits(context, session, &request) else {
         return reject_at_limit(session, request.request_id);
@@ -103,6 +104,13 @@
     }
 }
 
+fn id_in_use(error: ReservationError) -> InvalidRequest {
+    match error {
+        ReservationError::Open => InvalidRequest::DuplicateJobId,
+        ReservationError::MayHaveRun => InvalidRequest::JobMayHaveRun,
+    }
+}
+
 /// The permits for a job, its statement and its result; `None` if the connection or the program is at its limit.
 fn acquire_permits(
     context: &ClientContext,
@@ -144,11 +152,11 @@
     deadline: Timestamp,
 ) -> AdmittedJob {
     let class = &context.classes[request.class];
-    let responder = Responder::new(session, request.request_id, client_job_id, deadline);
-    let ledger = DispatchLedger::new(&request.client_job_id, class.retry_safety, deadline);
+    let ledger = Arc::new(DispatchLedger::new(&request.client_job_id, class.retry_safety, deadline));
+    let responder = Responder::new(session, request.request_id, client_job_id, ledger.clone(), deadline);
     AdmittedJob {
         responder: Arc::new(responder),
-        ledger: Arc::new(ledger),
+        ledger,
         client_job_id: request.client_job_id,
         class: class.name.clone(),
         statement: request.statement.into(),
--- a/crates/server/src/codec/client.rs
+++ b/crates/server/src/codec/client.rs
@@ -145,6 +145,9 @@
     /// one.
     #[error("field {FIELD_JOB_ID} is that of an open request")]
     DuplicateJobId,
+    /// The id of the job is that of an ended job that may have run and must not run again.
+    #[error("field {FIELD_JOB_ID} is that of a request that may have run")]
+    JobMayHaveRun,
 }
 
 /// Why a job has no result. The text is sent to the client.
--- a/crates/server/src/decision/open_job.rs
+++ b/crates/server/src/decision/open_job.rs
@@ -2,8 +2,8 @@
 
 use crate::codec::client::{FailureReason, Reply};
 use crate::decision::handle::{ControllerHandle, LOCAL_LIMIT_RETRY_DELAY};
-use crate::engine::dispatch_ledger::DispatchLedger;
 use crate::job::{AdmittedJob, JobCommand, JobTask, WorkerPool};
+use crate::session::dispatch_ledger::DispatchLedger;
 use crate::session::responder::Responder;
 use crate::telemetry::counters;
 use crossbeam_channel::{Sender, bounded};
--- a/crates/server/src/engine/mod.rs
+++ b/crates/server/src/engine/mod.rs
@@ -9,7 +9,6 @@
 mod connection_error;
 mod connection_input;
 mod dialer;
-pub mod dispatch_ledger;
 mod endpoint_updates;
 pub mod handle;
 mod ids;
--- a/crates/server/src/engine/request.rs
+++ b/crates/server/src/engine/request.rs
@@ -1,8 +1,8 @@
 //! Dispatches and health checks as they are passed to an engine's pool, and their results.
 
 use crate::codec::engine::EngineMessage;
-use crate::engine::dispatch_ledger::DispatchLedger;
 use crate::session::cancellation::ClientLiveness;
+use crate::session::dispatch_ledger::DispatchLedger;
 use pebblevane::interface::{DispatchStatus, LoadReport};
 use pebblevane::time::{TimeDelta, Timestamp};
 use std::sync::Arc;
--- a/crates/server/src/job/admitted_job.rs
+++ b/crates/server/src/job/admitted_job.rs
@@ -1,7 +1,7 @@
 //! An admitted job, as the thread that serves clients passes it to the controller's thread.
 
-use crate::engine::dispatch_ledger::DispatchLedger;
 use crate::limits::Permit;
+use crate::session::dispatch_ledger::DispatchLedger;
 use crate::session::responder::Responder;
 use std::sync::Arc;
 
--- a/crates/server/src/job/dispatch_end.rs
+++ b/crates/server/src/job/dispatch_end.rs
@@ -1,10 +1,10 @@
 //! How a dispatch ended, and how that is reported.
 
-use crate::engine::dispatch_ledger::{DispatchLedger, Execution};
 use crate::engine::handle::DispatchHandle;
 use crate::job::command::DispatchListener;
 use crate::job::in_flight_dispatch::InFlightDispatch;
 use crate::lifecycle::clock;
+use crate::session::dispatch_ledger::{DispatchLedger, Execution};
 use crossbeam_channel::Receiver;
 use pebblevane::interface::{ActualCost, DispatchResult, DispatchStatus, JobId, LoadReport};
 use pebblevane::time::Timestamp;
--- a/crates/server/src/engine/dispatch_ledger.rs
+++ b/crates/server/src/session/dispatch_ledger.rs
@@ -35,6 +35,14 @@
     in_flight: u32,
     /// When the first of the dispatches that may have run was sent.
     first_possible_run: Option<Timestamp>,
+    /// Whether no dispatch may be sent any more.
+    closed: bool,
+}
+
+impl Entries {
+    fn may_have_run(&self) -> bool {
+        self.in_flight > 0 || self.first_possible_run.is_some()
+    }
 }
 
 impl DispatchLedger {
@@ -43,11 +51,14 @@
         DispatchLedger { id: id.into(), retry_safety, deadline, entries: Mutex::default() }
     }
 
-    /// Records a dispatch that is about to be sent with this deadline, and returns whether it may be sent. A dispatch
-    /// that would violate an invariant is counted as a violation and not recorded.
+    /// Records a dispatch that is about to be sent with this deadline, and returns whether it may be sent: not if the
+    /// record is closed. A dispatch that would violate an invariant is counted as a violation and not recorded.
     #[must_use]
     pub fn try_record_send(&self, now: Timestamp, deadline: Timestamp) -> bool {
         let mut entries = lock(&self.entries);
+        if entries.closed {
+            return false;
+        }
         let first_possible_run = entries.first_possible_run;
         let violation = match self.retry_safety {
             _ if entries.in_flight > 0 => Some(Invariant::SingleDispatchInFlight),
@@ -82,11 +93,18 @@
         }
     }
 
+    /// Ends the record: no dispatch may be sent any more. Returns whether another job must not take this one's place,
+    /// because it may have run, and another run is not known to be harmless.
+    pub fn close(&self) -> bool {
+        let mut entries = lock(&self.entries);
+        entries.closed = true;
+        entries.may_have_run() && self.retry_safety != RetrySafety::Restartable
+    }
+
     /// Checks that the job may be rejected: clients retry rejected jobs, so another run must be harmless if the job may
     /// have run. A violation is counted, but the rejection is sent anyway.
     pub fn check_rejection(&self) {
         let entries = lock(&self.entries);
-        let may_have_run = entries.in_flight > 0 || entries.first_possible_run.is_some();
         let retry_is_harmless = match self.retry_safety {
             RetrySafety::Restartable => true,
             RetrySafety::IdempotencyKey { deduplication_scope, .. } => {
@@ -94,7 +112,7 @@
             }
             RetrySafety::RunOnce => false,
         };
-        if may_have_run && !retry_is_harmless {
+        if entries.may_have_run() && !retry_is_harmless {
             invariants::report_violation(Invariant::RejectedOnlyIfHarmless, &self.id);
         }
     }
--- a/crates/server/src/session/mod.rs
+++ b/crates/server/src/session/mod.rs
@@ -4,5 +4,6 @@
 pub mod client_job_ids;
 pub mod client_session;
 pub mod connection_failures;
+pub mod dispatch_ledger;
 pub mod responder;
 mod write_buffer;
--- a/crates/server/src/session/responder.rs
+++ b/crates/server/src/session/responder.rs
@@ -7,6 +7,7 @@
 use crate::lifecycle::clock;
 use crate::lifecycle::sync::lock;
 use crate::limits::Permit;
+use crate::session::dispatch_ledger::DispatchLedger;
 use crate::telemetry::counters;
 use crate::telemetry::invariants::{self, Invariant};
 use pebblevane::interface::JobId;
@@ -27,6 +28,8 @@
     client_job_id: Box<str>,
     /// The reservation of `client_job_id`, until the request is answered.
     reserved_id: Mutex<Option<ReservedJobId>>,
+    /// The record of the dispatches that were sent for the job.
+    ledger: Arc<DispatchLedger>,
     /// The end of the client's timeout.
     deadline: Timestamp,
     /// The controller's id of the job, set when the request is registered.
@@ -40,6 +43,7 @@
         session: &Arc<ClientSession>,
         request_id: RequestId,
         client_job_id: ReservedJobId,
+        ledger: Arc<DispatchLedger>,
         deadline: Timestamp,
     ) -> Responder {
         Responder {
@@ -47,6 +51,7 @@
             request_id,
             client_job_id: client_job_id.as_str().into(),
             reserved_id: Mutex::new(Some(client_job_id)),
+            ledger,
             deadline,
             job: OnceLock::new(),
             cancellation: Arc::default(),
@@ -70,7 +75,8 @@
     }
 
     /// Answers the request and returns true, or returns false if it has already been answered or cancelled. The
-    /// client's id of the job is released first, so that a client that has its answer may use the id again.
+    /// client's id of the job is released first, so that a client that has its answer may use the id again, unless the
+    /// job must not run again.
     pub fn respond(&self, reply: &Reply) -> bool {
         self.respond_with(reply, None)
     }
@@ -82,7 +88,7 @@
     }
 
     fn respond_with(&self, reply: &Reply, memory: Option<Permit>) -> bool {
-        drop(lock(&self.reserved_id).take());
+        self.release_id();
         let session = self.session.upgrade();
         let responded = session.is_some_and(|session| session.respond(self.request_id, reply, memory));
         if responded {
@@ -91,6 +97,15 @@
         responded
     }
 
+    /// Ends the reservation of the client's id. If the job may have run and must not run again, the id stays unusable: the
+    /// client may not receive the answer, and submit the job again.
+    fn release_id(&self) {
+        let Some(reserved_id) = lock(&self.reserved_id).take() else { return };
+        if self.ledger.close() {
+            reserved_id.retain();
+        }
+    }
+
     fn record_response(&self, reply: &Reply) {
         let overdue = clock::now() - self.deadline;
         let overdue_ms = overdue.as_millis_f64();
@@ -125,5 +140,6 @@
         if self.session_if_open().is_some() {
             invariants::report_violation(Invariant::Answered, &self.client_job_id);
         }
+        self.release_id();
     }
 }
--- a/crates/server/tests/server/main.rs
+++ b/crates/server/tests/server/main.rs
@@ -20,6 +20,7 @@
 mod event_bus;
 mod limits;
 mod memory_exhaustion;
+mod repeated_ids;
 mod requests;
 mod resource_budgets;
 mod results;
