Buffers of incomplete requests take little more than their bytes

Cause: the budget counts bytes, but the buffers doubled when they were full; where all had just doubled, the process had up to three times what the budget had granted.

Change: a buffer grows to its new length and an eighth of it.

--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -19,6 +19,10 @@
 /// How many bytes of an incomplete message need no permit of the budget. Also the buffer capacity that a connection
 /// retains when no message is incomplete.
 const SMALL_BUFFER_BYTES: usize = 4096;
+/// The capacity of a buffer is a multiple of this.
+const CAPACITY_STEP_BYTES: usize = 4096;
+/// A buffer that is too small grows to its new length and this part of it.
+const CAPACITY_GROWTH_DIVISOR: usize = 8;
 /// The maximum number of bytes of one connection that are read before the others are served.
 const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 /// Reading stops once this many messages are complete, before the others are served. It is well above the number of
@@ -154,7 +158,7 @@
         if !self.is_inside_message() {
             self.message_expected_since = Some(Instant::now());
         }
-        self.received.extend_from_slice(bytes);
+        append_with_little_excess_capacity(&mut self.received, bytes);
         Ok(())
     }
 
@@ -288,6 +292,17 @@
     }
 }
 
+/// Appends bytes to a buffer whose capacity exceeds its length only by a small part: the budget counts the length, and
+/// hundreds of buffers may grow at the same time.
+fn append_with_little_excess_capacity(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    let length = buffer.len() + bytes.len();
+    if length > buffer.capacity() {
+        let capacity = length.max(length / CAPACITY_GROWTH_DIVISOR * (CAPACITY_GROWTH_DIVISOR + 1));
+        buffer.reserve_exact(capacity.next_multiple_of(CAPACITY_STEP_BYTES) - buffer.len());
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 /// Counts the messages that are complete in a buffer to which bytes are appended.
 #[derive(Default)]
 struct MessageCounter {
--- a/crates/server/tests/server/memory_exhaustion.rs
+++ b/crates/server/tests/server/memory_exhaustion.rs
@@ -7,6 +7,7 @@
 use crate::support::event_bus::EventBusStandIn;
 use crate::support::program::Program;
 use expect_test::expect;
+use pebblevane_server::limits::{Limits, ResourceQuotas};
 use std::time::Duration;
 
 /// The message number of the first job that only uses memory.
@@ -200,7 +201,7 @@
 #[test]
 fn a_message_that_is_discarded_retains_no_memory() {
     /// The number of these connections.
-    const CLIENTS: usize = 30;
+    const CLIENTS: usize = 500;
     /// The part of each message that arrives.
     const SENT_BYTES: usize = 100_000;
     /// How much the resident memory may grow: 4 KiB for each connection, and what is read at a time.
@@ -264,3 +265,32 @@
 
     assert_eq!(complete.count(), JOBS as usize);
 }
+
+/// Hundreds of clients send a large request slowly, all at the same pace, and stop before its end. The buffers must not take
+/// much more memory than their bytes, which the budget counts: the other half of the available memory is for open jobs.
+#[test]
+fn many_large_requests_that_arrive_slowly_leave_memory_for_jobs() {
+    const CLIENTS: usize = 330;
+    const LIMITS: Limits = Limits { sockets: 1024, memory_mb: 32 };
+    const PART_BYTES: usize = 4096;
+    const PARTS: usize = 18;
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let config = ProgramConfig::new(&engines, &bus.address);
+    let program = Program::start_with(config.limits(1.0, LIMITS.memory_mb as u32, LIMITS.sockets as u32));
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
+
+    let request = long_request(1, PARTS * PART_BYTES);
+    for part in request.chunks(PART_BYTES).take(PARTS) {
+        for client in &mut clients {
+            client.send_raw(part);
+        }
+        let mut other = program.connect();
+        other.request_health(1);
+        assert_eq!(other.next_answer(), "1: well true");
+    }
+    let bytes_for_jobs = ResourceQuotas::from_limits(LIMITS).buffer_bytes;
+    let max_kb = LIMITS.memory_mb * 1024 - bytes_for_jobs / 1024;
+    let peak_kb = program.peak_resident_kb();
+    println!("{peak_kb} KB of {max_kb}");
+    assert!(peak_kb < max_kb, "{peak_kb} KB of {max_kb}");
+}
--- a/crates/server/tests/server/support/program.rs
+++ b/crates/server/tests/server/support/program.rs
@@ -194,8 +194,15 @@
     }
     /// The program's resident memory, in KiB.
     pub fn resident_kb(&self) -> usize {
+        self.memory_kb("VmRSS:")
+    }
+    /// The greatest resident memory that the program has had, in KiB.
+    pub fn peak_resident_kb(&self) -> usize {
+        self.memory_kb("VmHWM:")
+    }
+    fn memory_kb(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        let line = status.lines().find(|line| line.starts_with(field)).unwrap();
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 }
