The end of a connection is found behind many unread requests before any is submitted

Cause: the end of a connection comes behind its bytes, and a turn submitted what was in the first 64 KB.

Change: a turn reads up to 1 MB before it submits anything; beyond 64 KB the bytes need a permit. Of the connections with more to read only those at the limit of messages come last.

--- a/crates/server/src/client/event_loop/mod.rs
+++ b/crates/server/src/client/event_loop/mod.rs
@@ -260,7 +260,7 @@
         match progress {
             Ok(ReadProgress::AllRead) => {}
             Ok(ReadProgress::Paused) => self.paused.push(id),
-            Ok(ReadProgress::MoreAvailable) => self.request_event(id),
+            Ok(ReadProgress::MoreAvailable | ReadProgress::MessageLimitReached) => self.request_event(id),
             Err(ReadError::Abort(reason)) => self.abort(id, &reason),
             Err(ReadError::Close(reason)) => self.close(id, &reason),
         }
--- a/crates/server/src/client/event_loop/turns.rs
+++ b/crates/server/src/client/event_loop/turns.rs
@@ -28,14 +28,14 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(in crate::client) enum Priority {
     Usual,
-    /// Its messages were refused, or it had more to read after its last turn.
+    /// Its messages were refused, or it sent as many as allowed in its last turn.
     Low,
 }
 
 impl Priority {
     /// The priority of a connection after a turn.
     pub(in crate::client) fn after_turn(consecutive_refusals: u32, progress: ReadProgress) -> Priority {
-        if consecutive_refusals > 0 || progress == ReadProgress::MoreAvailable {
+        if consecutive_refusals > 0 || progress == ReadProgress::MessageLimitReached {
             Priority::Low
         } else {
             Priority::Usual
--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -8,6 +8,7 @@
 use super::event_loop::turns::Priority;
 use crate::codec::client::{self as codec, Frame, Message, ProtocolError, RequestId};
 use crate::lifecycle::transient::is_transient_io_error;
+use crate::limits::Permit;
 use crate::session::connection_failures::ConnectionError;
 use crate::telemetry::counters;
 use crate::telemetry::invariants::{self, Invariant};
@@ -23,8 +24,11 @@
 const CAPACITY_STEP_BYTES: usize = 4096;
 /// A buffer that is too small grows to its new length and this part of it.
 const CAPACITY_GROWTH_DIVISOR: usize = 8;
-/// The maximum number of bytes of one connection that are read before the others are served.
-const MAX_BYTES_PER_TURN: usize = 64 * 1024;
+/// The number of bytes of one connection that are read without a permit before they are processed.
+const UNBUDGETED_BYTES_PER_TURN: usize = 64 * 1024;
+/// The maximum number of bytes of one connection that are read before they are processed, as far as the budget allows.
+/// A client may have left behind requests that do not fit into the system's buffers, and only reading shows that.
+const MAX_BYTES_PER_TURN: usize = 1024 * 1024;
 /// Reading stops once this many messages are complete, before the others are served. It is well above the number of
 /// messages that a client sends at once: one for each request that may be open, and their cancellations.
 const MAX_MESSAGES_PER_TURN: usize = 512;
@@ -44,6 +48,8 @@
     AllRead,
     /// There may be more to read.
     MoreAvailable,
+    /// As many messages as allowed in a turn were received, and there may be more to read.
+    MessageLimitReached,
     /// Reading is paused because messages were refused or a read failed temporarily.
     Paused,
 }
@@ -81,7 +87,7 @@
         buffer: &mut [u8],
         arrived_at: Timestamp,
     ) -> Result<ReadProgress, ReadError> {
-        let progress = self.receive(buffer)?;
+        let progress = self.receive(context, buffer)?;
         if self.closing.is_some() {
             return Ok(progress);
         }
@@ -117,14 +123,14 @@
     }
 
     /// Reads received bytes, up to the limits of a turn. During a graceful close they are discarded.
-    fn receive(&mut self, buffer: &mut [u8]) -> Result<ReadProgress, ReadError> {
-        let mut turn = MessageCounter::default();
-        let mut received_bytes = 0;
-        while received_bytes < MAX_BYTES_PER_TURN {
+    fn receive(&mut self, context: &ClientContext, buffer: &mut [u8]) -> Result<ReadProgress, ReadError> {
+        let mut messages = MessageCounter::default();
+        let mut read_ahead = ReadAhead::new(context);
+        while read_ahead.is_allowed() {
             match self.session.stream().read(buffer) {
                 Ok(0) => return Err(ReadError::Abort(CloseReason::ClosedByClient)),
                 Ok(count) => {
-                    received_bytes += count;
+                    read_ahead.record(count);
                     self.keep_or_discard(&buffer[..count]).map_err(ReadError::Abort)?;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -137,8 +143,8 @@
                 Err(e) if is_transient_io_error(&e) => return Ok(self.pause_reading()),
                 Err(e) => return Err(ReadError::Close(ConnectionError::from(e).into())),
             }
-            if self.discarded.is_none() && turn.count(&self.received) >= MAX_MESSAGES_PER_TURN {
-                break;
+            if self.discarded.is_none() && messages.count(&self.received) >= MAX_MESSAGES_PER_TURN {
+                return Ok(ReadProgress::MessageLimitReached);
             }
         }
         Ok(ReadProgress::MoreAvailable)
@@ -303,6 +309,30 @@
     buffer.extend_from_slice(bytes);
 }
 
+/// How many bytes are read in a turn before any is processed. Those beyond [`UNBUDGETED_BYTES_PER_TURN`] need a permit.
+struct ReadAhead {
+    bytes: usize,
+    permit: Option<Permit>,
+}
+
+impl ReadAhead {
+    fn new(context: &ClientContext) -> ReadAhead {
+        ReadAhead { bytes: 0, permit: context.buffer_bytes.acquire(0) }
+    }
+
+    fn record(&mut self, count: usize) {
+        self.bytes += count;
+    }
+
+    /// Whether more may be read.
+    fn is_allowed(&mut self) -> bool {
+        let budgeted_bytes = self.bytes.saturating_sub(UNBUDGETED_BYTES_PER_TURN);
+        self.bytes < MAX_BYTES_PER_TURN
+            && (budgeted_bytes == 0
+                || self.permit.as_mut().is_some_and(|permit| permit.grow_to(budgeted_bytes)))
+    }
+}
+
 /// Counts the messages that are complete in a buffer to which bytes are appended.
 #[derive(Default)]
 struct MessageCounter {
--- a/crates/server/tests/server/cancellation.rs
+++ b/crates/server/tests/server/cancellation.rs
@@ -1,7 +1,7 @@
 //! Nothing is sent to an engine for a client that has cancelled its job or has disconnected (rule 1).
 
 use crate::support::SingleEngine;
-use crate::support::client::{Client, encode_request, wire_id};
+use crate::support::client::{Client, SELECT, encode_request, wire_id};
 use crate::support::config::ProgramConfig;
 use crate::support::engines::EngineStandIns;
 use crate::support::event_bus::{EventBusStandIn, IN_SERVICE, TERMINATING, endpoint};
@@ -142,3 +142,30 @@
 
     expect!["0 of 24 sent"].assert_eq(&format!("{sent} of {JOBS} sent"));
 }
+
+/// A client submits more than the system's buffers hold and disconnects, while the program is suspended. The end of its
+/// connection is visible only behind all that it has sent, so none of its jobs may be admitted before that is read.
+#[test]
+fn a_disconnect_behind_many_unread_requests_is_noticed_before_any_is_dispatched() {
+    const CLIENTS: u32 = 8;
+    const JOBS_PER_CLIENT: u32 = 48;
+    let (engines, bus) = (EngineStandIns::start(1), EventBusStandIn::start());
+    let program = Program::start_with(ProgramConfig::new(&engines, &bus.address));
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
+    for client in &mut clients {
+        client.request_health(999);
+        assert_eq!(client.next_answer(), "999: well true");
+    }
+    let statement = format!("{SELECT} /* {} */", "x".repeat(6000));
+    program.while_suspended(|| {
+        for (first, client) in (1..).step_by(JOBS_PER_CLIENT as usize).zip(&mut clients) {
+            for message in first..first + JOBS_PER_CLIENT {
+                let fields = [("i", &*wire_id(message)), ("d", "9000")];
+                client.send_raw(&encode_request(message, "load", &fields, &statement));
+            }
+            client.disconnect();
+        }
+    });
+
+    engines.expect_no_line();
+}
