A keyed job is retried in the group of the engine that had the address when it was sent

Cause: the group of a retry was that of the engine to which the dispatch was addressed, whoever had the address by then.

Change: the endpoint directory tells the controller which engine another one replaces at its address. A retry has to share the idempotency keys of all engines that may have received the dispatch: the later one if it was sent after its start, the earlier one if before, both within 0.1 s or if the list has no start.

--- a/crates/server/src/decision/endpoint_directory.rs
+++ b/crates/server/src/decision/endpoint_directory.rs
@@ -19,11 +19,20 @@
     engines: BTreeMap<EngineId, KnownEngine>,
     /// The engine that listens at each address: of those listed there, the one that started last.
     address_holders: HashMap<SocketAddr, EngineId>,
+    /// The engines that were removed from the list while they held their address, until another one has it or the
+    /// controller no longer needs them.
+    former_holders: HashMap<SocketAddr, EngineId>,
     name_positions: NamePositions,
     registry: Arc<EngineRegistry>,
     start_time_converter: StartTimeConverter,
 }
 
+/// An address that has passed from one engine to another.
+struct PassedAddress {
+    from: EngineId,
+    to: EngineId,
+}
+
 impl EndpointDirectory {
     /// A directory without engines.
     pub(super) fn new(name_positions: NamePositions, registry: Arc<EngineRegistry>) -> EndpointDirectory {
@@ -31,6 +40,7 @@
             ids: EngineIds::default(),
             engines: BTreeMap::new(),
             address_holders: HashMap::new(),
+            former_holders: HashMap::new(),
             name_positions,
             registry,
             start_time_converter: StartTimeConverter::default(),
@@ -50,6 +60,7 @@
 
     /// Removes an engine's id, which is never assigned again: a later engine of the same name gets another id.
     pub(super) fn remove_id(&mut self, id: EngineId) {
+        self.former_holders.retain(|_, former| *former != id);
         self.ids.remove(id);
     }
 
@@ -71,7 +82,7 @@
             listed.extend(endpoints.into_iter().map(|endpoint| (endpoint.engine, endpoint)));
         }
         for id in ids.into_iter().filter(|id| !listed.contains_key(id)) {
-            self.ids.remove(id);
+            self.remove_id(id);
         }
         self.log_change(last_event, listed.len());
         listed.into_values().collect()
@@ -100,9 +111,14 @@
     ) -> Vec<Endpoint> {
         self.record_wall_clock(now);
         let entries = event.engines.into_iter();
-        let changes: Vec<EndpointChange> =
+        let mut changes: Vec<EndpointChange> =
             entries.filter_map(|entry| self.read_entry(now, entry, last_complete)).collect();
-        self.update_engines(&changes);
+        let passed_on = self.update_engines(&changes);
+        for change in &mut changes {
+            let endpoint = &mut change.endpoint;
+            let passed = passed_on.iter().find(|passed| passed.to == endpoint.engine);
+            endpoint.replaces = passed.map(|passed| passed.from);
+        }
         let endpoints: Vec<Endpoint> = changes.into_iter().map(|change| change.endpoint).collect();
         if event.complete {
             self.remove_all_but(&endpoints);
@@ -138,6 +154,7 @@
             lifecycle: entry.lifecycle,
             started_at: start.map(|start| start.at),
             capacity_hint: entry.weight,
+            replaces: None,
             name: entry.name,
         };
         Some(EndpointChange { endpoint, address, start })
@@ -160,17 +177,16 @@
     }
 
     /// Updates the engines after a change of their entries. Dispatches are accepted only once it is known which engine
-    /// listens at each address.
-    fn update_engines(&mut self, changes: &[EndpointChange]) {
+    /// listens at each address. Returns the addresses that have passed on.
+    fn update_engines(&mut self, changes: &[EndpointChange]) -> Vec<PassedAddress> {
         let started: Vec<EngineId> = changes.iter().filter_map(|change| self.update_engine(change)).collect();
-        for id in &started {
-            self.assign_address(*id, &started);
-        }
+        let passed_on = started.iter().filter_map(|id| self.assign_address(*id, &started)).collect();
         for change in changes {
             if let Some(known) = self.engines.get(&change.endpoint.engine) {
                 known.update_handle();
             }
         }
+        passed_on
     }
 
     /// Updates an engine after a change of its entry, and returns its id if it was added or has restarted. An entry with
@@ -178,13 +194,14 @@
     fn update_engine(&mut self, change: &EndpointChange) -> Option<EngineId> {
         let id = change.endpoint.engine;
         if change.endpoint.lifecycle == LifecycleState::Gone {
-            self.remove(id);
+            self.remove_gone(id);
             return None;
         }
         if let Some(known) = self.engines.get_mut(&id).filter(|known| known.is_same_engine(change)) {
             return known.update(change).then_some(id);
         }
         self.remove(id);
+        self.former_holders.retain(|_, former| *former != id);
         let handle = EngineHandle::new(&self.registry, self.ids.name(id), change.address);
         self.engines.insert(id, KnownEngine::new(handle, change));
         Some(id)
@@ -192,35 +209,46 @@
 
     /// Assigns its address to an engine that the event has added or restarted, and displaces the engine that was listed
     /// there before. If both are among those that `started` by the same event, the one that started last has the
-    /// address, whatever their order in the list.
-    fn assign_address(&mut self, id: EngineId, started: &[EngineId]) {
-        let Some(known) = self.engines.get(&id) else { return };
-        let Some(previous) =
-            self.address_holders.insert(known.address, id).filter(|previous| *previous != id)
-        else {
-            return;
+    /// address, whatever their order in the list. Returns the engines if the address has passed from one to the other.
+    fn assign_address(&mut self, id: EngineId, started: &[EngineId]) -> Option<PassedAddress> {
+        let known = self.engines.get(&id)?;
+        let (address, order) = (known.address, known.start_order());
+        let holder = self.address_holders.insert(address, id);
+        let former = self.former_holders.remove(&address);
+        let Some(previous) = holder.filter(|previous| *previous != id) else {
+            let from = former.filter(|former| *former != id)?;
+            return Some(PassedAddress { from, to: id });
         };
-        let previous_is_later =
-            started.contains(&previous) && self.engines[&previous].start_order() > known.start_order();
-        let displaced = if previous_is_later {
-            self.address_holders.insert(known.address, previous);
-            id
+        let previous_is_later = started.contains(&previous) && self.engines[&previous].start_order() > order;
+        let passed = if previous_is_later {
+            self.address_holders.insert(address, previous);
+            PassedAddress { from: id, to: previous }
         } else {
-            previous
+            PassedAddress { from: previous, to: id }
         };
-        if let Some(known) = self.engines.get_mut(&displaced) {
-            known.displace();
+        if let Some(displaced) = self.engines.get_mut(&passed.from) {
+            displaced.displace();
         }
+        Some(passed)
     }
 
     fn remove_all_but(&mut self, endpoints: &[Endpoint]) {
         let is_listed = |id: &EngineId| endpoints.iter().any(|endpoint| endpoint.engine == *id);
         let missing: Vec<EngineId> = self.engines.keys().copied().filter(|id| !is_listed(id)).collect();
         for id in missing {
-            self.remove(id);
+            self.remove_gone(id);
         }
     }
 
+    /// Removes an engine that no longer exists. Its address may pass to another one later.
+    fn remove_gone(&mut self, id: EngineId) {
+        let address = self.engines.get(&id).map(|known| known.address);
+        if let Some(address) = address.filter(|address| self.address_holders.get(address) == Some(&id)) {
+            self.former_holders.insert(address, id);
+        }
+        self.remove(id);
+    }
+
     /// Removes an engine: no further dispatches are sent to it, but those in flight may still finish.
     fn remove(&mut self, id: EngineId) {
         let Some(old) = self.engines.remove(&id) else { return };
--- a/crates/server/tests/server/reused_addresses.rs
+++ b/crates/server/tests/server/reused_addresses.rs
@@ -14,7 +14,7 @@
 use expect_test::expect;
 use serde_json::{Value as Json, json};
 use std::fmt::Write as _;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Names of the earlier and of the new engine, in both orders of the alphabet.
 const NAMES: [(&str, &str); 2] = [("a", "b"), ("b", "a")];
@@ -179,3 +179,80 @@
         assert_eq!(client.next_answer(), "1: done ");
     }
 }
+
+/// How the event bus reports that an engine of another cell has taken over an address.
+#[derive(Clone, Copy)]
+enum Report {
+    /// In one event, with the end of the earlier engine.
+    AtOnce,
+    /// The end of the earlier engine first, then the new one.
+    EndFirst,
+}
+
+/// A keyed load is sent to the address of an engine of cell 0, where one of cell 1 has taken over, as the bus then reports.
+/// `started_ago_ms` is how long before the report it started, and the load was sent 300 ms before that; `None` if the bus does not tell. The connection is lost, and
+/// the load sent again. Returns the cell to which it is sent, or the client's answer if it is not.
+fn cell_of_retry(report: Report, started_ago_ms: Option<u64>) -> String {
+    let (engines, mut bus) = (EngineStandIns::start(3), EventBusStandIn::start());
+    let entry = |name: &str, engine: usize, state: &str, cell: u32| {
+        let mut entry = endpoint(name, &engines.addresses[engine], state);
+        entry["cell"] = json!(cell);
+        entry
+    };
+    // Only the first engine gets the load.
+    let known = [entry("a", 0, IN_SERVICE, 0), entry("c", 1, TERMINATING, 0), entry("d", 2, TERMINATING, 1)];
+    let config = ProgramConfig::new(&engines, &bus.address).known_endpoints(&known);
+    let config = config.idempotency_key_for_loads(60_000.0).set("/settings/Classes/1/Group", json!("cell"));
+    let program = Program::start_with(config);
+    let mut client = program.connect();
+    client.submit(1, "load", 3000);
+    let first = engines.next_line();
+    assert_eq!((first.engine, first.field(0)), (0, "REQ"));
+
+    // Longer than the start time may be wrong.
+    std::thread::sleep(Duration::from_millis(300));
+    let mut new = entry("b", 0, TERMINATING, 1);
+    if let Some(ago) = started_ago_ms {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        new["startedAtMs"] = json!(unix.as_millis() as u64 - ago);
+    }
+    let ended = entry("a", 0, TERMINATED, 0);
+    let others = [entry("c", 1, IN_SERVICE, 0), entry("d", 2, IN_SERVICE, 1)];
+    match report {
+        Report::AtOnce => bus.send_update(2, &[&[ended, new], &others[..]].concat()),
+        Report::EndFirst => {
+            bus.send_update(2, &[ended]);
+            bus.send_update(3, &[&[new], &others[..]].concat());
+        }
+    }
+    let last_event = if matches!(report, Report::AtOnce) { 2 } else { 3 };
+    program.wait_for_log(&format!("endpoint list changed event={last_event} "));
+    first.close_connection();
+    match engines.next_line_if_soon() {
+        Some(retry) => format!("{} cell {}", retry.field(0), retry.engine - 1),
+        None => client.next_answer(),
+    }
+}
+
+/// A keyed load ran on an engine that the program took for the earlier one at its address. It was sent again to the cell of
+/// the earlier engine, where its key is not known, and took effect twice. Where it can't be known which of the two engines
+/// has run it, it is not sent again.
+#[test]
+fn a_keyed_job_that_a_new_engine_at_the_address_has_run_is_retried_in_its_cell() {
+    let mut trace = String::new();
+    for report in [Report::AtOnce, Report::EndFirst] {
+        for started_ago_ms in [Some(5000), Some(0), None] {
+            writeln!(trace, "{}", cell_of_retry(report, started_ago_ms)).unwrap();
+        }
+    }
+
+    expect![[r"
+        REQ cell 1
+        REQ cell 0
+        1: Failed why=cancelled
+        REQ cell 1
+        REQ cell 0
+        1: Failed why=cancelled
+    "]]
+    .assert_eq(&trace);
+}
--- a/crates/simulator-adapter/src/codec/decode.rs
+++ b/crates/simulator-adapter/src/codec/decode.rs
@@ -142,6 +142,7 @@
         lifecycle: decode_lifecycle(entry)?,
         started_at: (started_at_ms > 0.0).then(|| Timestamp::from_millis_f64(started_at_ms)),
         capacity_hint: entry.number_or(endpoint_fields::CAPACITY_HINT, 1.0)?,
+        replaces: None,
     })
 }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::concurrency::EngineLimit;
 use crate::estimators::{DecayingAverage, SlidingWindow};
-use crate::interface::{Endpoint, JobId, LoadReport};
+use crate::interface::{Endpoint, EngineId, JobId, LoadReport};
 use crate::job_class::JobClass;
 use crate::outlier::Ejection;
 use crate::settings::ControllerSettings;
@@ -106,6 +106,17 @@
     /// Table groups that a bulk load of another gateway locks, as shown by jobs that waited for it, and the time until
     /// which the lock is assumed to last.
     pub locked_tables_until: BTreeMap<u64, Timestamp>,
+    /// The engine to which its address has passed.
+    pub replaced_by: Option<Replacement>,
+}
+
+/// An engine that has taken over the address of another one.
+#[derive(Clone, Copy, Debug)]
+pub struct Replacement {
+    /// The later engine.
+    pub engine: EngineId,
+    /// When it started; `None` if the endpoint list does not tell.
+    pub started_at: Option<Timestamp>,
 }
 
 impl Engine {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -31,6 +31,9 @@
     pub started_at: Option<Timestamp>,
     /// Relative capacity; taken as the number of cores if the settings give none for the machine type.
     pub capacity_hint: f64,
+    /// The engine that was listed at its address before, if the address has just passed to this one. Dispatches that were
+    /// sent to the other engine in the meantime may have reached this one.
+    pub replaces: Option<EngineId>,
 }
 
 /// Which engines of the pool an endpoint list contains.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,6 +1,6 @@
 //! The pool: all known engines, the running ones, and the order in which each table group's jobs walk them.
 
-use crate::engine::{Engine, THREADS_PER_CORE};
+use crate::engine::{Engine, Replacement, THREADS_PER_CORE};
 use crate::estimators::mix64;
 use crate::interface::{Endpoint, EngineId, LifecycleState};
 use crate::settings::ControllerSettings;
@@ -12,6 +12,10 @@
 /// be any number of them.
 const MAX_CACHED_ORDER_ENTRIES: usize = 1024 * 1024;
 
+/// How much the start time of an engine in the endpoint list may differ from when it took over its address, on this
+/// gateway's clock.
+const MAX_START_TIME_ERROR: TimeDelta = TimeDelta::from_millis(100);
+
 /// The known engines of the pool.
 #[derive(Default)]
 pub struct EnginePool {
@@ -44,6 +48,7 @@
         endpoint: Endpoint,
         now: Timestamp,
     ) -> bool {
+        self.record_replacement(&endpoint);
         let known = self.engines.get_mut(&endpoint.engine);
         let restarted = |engine: &Engine| {
             endpoint.started_at.is_some() && engine.endpoint.started_at != endpoint.started_at
@@ -65,6 +70,34 @@
         true
     }
 
+    fn record_replacement(&mut self, endpoint: &Endpoint) {
+        let previous = endpoint.replaces.and_then(|previous| self.engines.get_mut(&previous));
+        if let Some(previous) = previous {
+            let started_at = endpoint.started_at;
+            previous.replaced_by = Some(Replacement { engine: endpoint.engine, started_at });
+        }
+    }
+
+    /// The engines that may have received a dispatch that was sent to this engine at this time: the engine itself, or
+    /// one to which its address had passed by then, or both if that can't be known.
+    pub fn possible_receivers(&self, engine: EngineId, sent_at: Timestamp) -> Vec<EngineId> {
+        let mut receivers = vec![engine];
+        let mut last = engine;
+        while let Some(next) = self.engines.get(&last).and_then(|engine| engine.replaced_by) {
+            let sent_before = next.started_at.is_some_and(|start| sent_at + MAX_START_TIME_ERROR < start);
+            if sent_before || receivers.contains(&next.engine) {
+                break;
+            }
+            let sent_after = next.started_at.is_some_and(|start| sent_at > start + MAX_START_TIME_ERROR);
+            if sent_after {
+                receivers.clear();
+            }
+            receivers.push(next.engine);
+            last = next.engine;
+        }
+        receivers
+    }
+
     /// Marks the engines as gone that a complete endpoint list does not contain.
     pub fn mark_missing(&mut self, listed: &BTreeSet<EngineId>) {
         let missing = self.engines.iter_mut().filter(|(id, _)| !listed.contains(id));
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -63,12 +63,13 @@
         && now < dispatch_deadline(job, class, settings.answer_margin)
 }
 
-/// Whether the engine `other` recognizes the idempotency keys of jobs that ran on `first`.
-pub fn shares_idempotency_keys(class: &ClassSettings, first: &Endpoint, other: &Endpoint) -> bool {
+/// Whether the engine `other` recognizes the idempotency keys of jobs that ran on `first`; `None` is an engine that is no
+/// longer known.
+pub fn shares_idempotency_keys(class: &ClassSettings, first: Option<&Endpoint>, other: &Endpoint) -> bool {
     match class.deduplication_scope {
         DeduplicationScope::Pool => true,
-        DeduplicationScope::Location => first.location == other.location,
-        DeduplicationScope::Cell => first.cell == other.cell,
+        DeduplicationScope::Location => first.is_some_and(|first| first.location == other.location),
+        DeduplicationScope::Cell => first.is_some_and(|first| first.cell == other.cell),
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,8 +39,11 @@
     // Rule 2, as far as the engine matters. `may_dispatch_again` checks whether and until when the job may run again.
     let first_run = job.possible_run.filter(|_| class.settings.retry_safety == RetrySafety::IdempotencyKey);
     let keeps_idempotency = first_run.is_none_or(|run| {
-        let first = &state.pool.engines[&run.engine].endpoint;
-        retry::shares_idempotency_keys(&class.settings, first, &engine.endpoint)
+        let shares_keys = |first: &EngineId| {
+            let first = state.pool.engines.get(first).map(|first| &first.endpoint);
+            retry::shares_idempotency_keys(&class.settings, first, &engine.endpoint)
+        };
+        state.pool.possible_receivers(run.engine, run.sent_at).iter().all(shares_keys)
     });
     // Rule 3, without using the grace period after the engine starts draining. Rule 4.
     let takes_work = engine.endpoint.lifecycle == LifecycleState::Running
--- a/tests/decisions/harness.rs
+++ b/tests/decisions/harness.rs
@@ -307,6 +307,7 @@
         location: engine as usize % 2,
         lifecycle,
         capacity_hint: 1.0,
+        replaces: None,
         ..Endpoint::default()
     }
 }
--- a/tests/decisions/idempotency.rs
+++ b/tests/decisions/idempotency.rs
@@ -1,9 +1,10 @@
 //! Rule 2: a job that may have run is only run again if its retry safety allows it.
 
-use crate::harness::{ControllerHarness, attempt};
+use crate::harness::{ControllerHarness, attempt, draining, gone, running};
 use crate::jobs::{KEYED, keyed, non_idempotent};
 use expect_test::expect;
-use pebblevane::interface::DispatchStatus;
+use pebblevane::interface::{DispatchStatus, Endpoint, EngineId};
+use pebblevane::time::Timestamp;
 
 /// Guards against a write that runs twice. After a lost connection it may have run: the gateway must not retry it, and
 /// must not reject it either, as a rejection lets the client retry. A write that did not reach its engine is retried.
@@ -71,3 +72,24 @@
         4000  ConnectionLost 1.0: cancel job 1
     "]]);
 }
+
+/// Guards against a retry in the location of an engine that no longer had its address when the job was sent: the engine
+/// that has it since may have run the job. Without a start time either may have, so the job is not retried.
+#[test]
+fn a_keyed_job_is_retried_in_the_location_of_the_engine_that_received_it() {
+    for (started_at_ms, retried_at) in [(Some(500.0), Some(1)), (Some(1500.0), Some(2)), (None, None)] {
+        let mut harness = ControllerHarness::builder().engines(1).build();
+        harness.advance(1000.0);
+        let job = harness.submit(keyed(11));
+        harness.advance(600.0);
+        let replacing = Endpoint {
+            replaces: Some(EngineId(0)),
+            started_at: started_at_ms.map(Timestamp::from_millis_f64),
+            ..draining(3)
+        };
+        harness.update_endpoints(vec![gone(0), replacing, running(1), running(2)]);
+        harness.finish(attempt(job, 0), DispatchStatus::ConnectionLost, 600.0);
+        let retried = [1, 2, 3].into_iter().find(|engine| harness.was_sent_to(job, *engine));
+        assert_eq!(retried, retried_at, "start {started_at_ms:?}");
+    }
+}
