--- a/crates/server/src/client/mod.rs
+++ b/crates/server/src/client/mod.rs
@@ -13,3 +13,5 @@
 pub mod event_loop;
 mod idle;
 mod reading;
+mod receive_buffer;
+mod turn_limits;
--- a/crates/server/src/client/reading.rs
+++ b/crates/server/src/client/reading.rs
@@ -6,9 +6,10 @@
 use super::context::ClientContext;
 use super::discarded_message::DiscardedMessage;
 use super::event_loop::turns::Priority;
+use super::receive_buffer;
+use super::turn_limits::{MessageCounter, ReadAhead};
 use crate::codec::client::{self as codec, Frame, Message, ProtocolError, RequestId};
 use crate::lifecycle::transient::is_transient_io_error;
-use crate::limits::Permit;
 use crate::session::connection_failures::ConnectionError;
 use crate::telemetry::counters;
 use crate::telemetry::invariants::{self, Invariant};
@@ -20,18 +21,6 @@
 /// How many bytes of an incomplete message need no permit of the budget. Also the buffer capacity that a connection
 /// retains when no message is incomplete.
 const SMALL_BUFFER_BYTES: usize = 4096;
-/// The capacity of a buffer is a multiple of this.
-const CAPACITY_STEP_BYTES: usize = 4096;
-/// A buffer that is too small grows to its new length and this part of it.
-const CAPACITY_GROWTH_DIVISOR: usize = 8;
-/// The number of bytes of one connection that are read without a permit before they are processed.
-const UNBUDGETED_BYTES_PER_TURN: usize = 64 * 1024;
-/// The maximum number of bytes of one connection that are read before they are processed, as far as the budget allows.
-/// A client may have left behind requests that do not fit into the system's buffers, and only reading shows that.
-const MAX_BYTES_PER_TURN: usize = 1024 * 1024;
-/// Reading stops once this many messages are complete, before the others are served. It is well above the number of
-/// messages that a client sends at once: one for each request that may be open, and their cancellations.
-const MAX_MESSAGES_PER_TURN: usize = 512;
 /// How long reading pauses after a refused message, multiplied by the number of consecutive refusals. Also the pause
 /// after a temporary read error.
 const BASE_PAUSE: Duration = Duration::from_millis(5);
@@ -143,7 +132,7 @@
                 Err(e) if is_transient_io_error(&e) => return Ok(self.pause_reading()),
                 Err(e) => return Err(ReadError::Close(ConnectionError::from(e).into())),
             }
-            if self.discarded.is_none() && messages.count(&self.received) >= MAX_MESSAGES_PER_TURN {
+            if self.discarded.is_none() && messages.limit_is_reached(&self.received) {
                 return Ok(ReadProgress::MessageLimitReached);
             }
         }
@@ -164,7 +153,7 @@
         if !self.is_inside_message() {
             self.message_expected_since = Some(Instant::now());
         }
-        append_with_little_excess_capacity(&mut self.received, bytes);
+        receive_buffer::append(&mut self.received, bytes);
         Ok(())
     }
 
@@ -298,60 +287,6 @@
     }
 }
 
-/// Appends bytes to a buffer whose capacity exceeds its length only by a small part: the budget counts the length, and
-/// hundreds of buffers may grow at the same time.
-fn append_with_little_excess_capacity(buffer: &mut Vec<u8>, bytes: &[u8]) {
-    let length = buffer.len() + bytes.len();
-    if length > buffer.capacity() {
-        let capacity = length.max(length / CAPACITY_GROWTH_DIVISOR * (CAPACITY_GROWTH_DIVISOR + 1));
-        buffer.reserve_exact(capacity.next_multiple_of(CAPACITY_STEP_BYTES) - buffer.len());
-    }
-    buffer.extend_from_slice(bytes);
-}
-
-/// How many bytes are read in a turn before any is processed. Those beyond [`UNBUDGETED_BYTES_PER_TURN`] need a permit.
-struct ReadAhead {
-    bytes: usize,
-    permit: Option<Permit>,
-}
-
-impl ReadAhead {
-    fn new(context: &ClientContext) -> ReadAhead {
-        ReadAhead { bytes: 0, permit: context.buffer_bytes.acquire(0) }
-    }
-
-    fn record(&mut self, count: usize) {
-        self.bytes += count;
-    }
-
-    /// Whether more may be read.
-    fn is_allowed(&mut self) -> bool {
-        let budgeted_bytes = self.bytes.saturating_sub(UNBUDGETED_BYTES_PER_TURN);
-        self.bytes < MAX_BYTES_PER_TURN
-            && (budgeted_bytes == 0
-                || self.permit.as_mut().is_some_and(|permit| permit.grow_to(budgeted_bytes)))
-    }
-}
-
-/// Counts the messages that are complete in a buffer to which bytes are appended.
-#[derive(Default)]
-struct MessageCounter {
-    messages: usize,
-    /// The total length of these messages in bytes.
-    length: usize,
-}
-
-impl MessageCounter {
-    /// The number of complete messages in `received`, which begins with the bytes of the previous call.
-    fn count(&mut self, received: &[u8]) -> usize {
-        while let Frame::Complete(length) = codec::frame(&received[self.length..]) {
-            self.messages += 1;
-            self.length += length;
-        }
-        self.messages
-    }
-}
-
 /// Whether a read error shows that the client has ended the connection, so that no answer can reach it any more.
 fn is_reset_by_client(error: &io::Error) -> bool {
     matches!(
