A pause after refused messages hides no request from a close

What callers saw: at a planned restart, a request of a client whose last messages had been refused was closed over unread.

Cause: an idle connection is read once more before it is closed, but a read returns at once while reading is paused.

Change: close_unless_needed ends the pause first.

--- a/crates/server/src/client/event_loop/close.rs
+++ b/crates/server/src/client/event_loop/close.rs
@@ -47,13 +47,16 @@
     }
 
     /// Reads a connection and closes it if it then still `is_unneeded`: bytes received in the meantime may contain a
-    /// request.
+    /// request. They are read even if reading is paused after refused messages.
     pub(super) fn close_unless_needed(
         &mut self,
         id: ConnectionId,
         is_unneeded: impl Fn(&ClientConnection) -> bool,
         reason: &CloseReason,
     ) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.paused_until = None;
+        }
         self.read(id);
         let Some(connection) = self.connections.get(&id).filter(|connection| is_unneeded(connection)) else {
             return;
--- a/crates/server/tests/server/shutdown.rs
+++ b/crates/server/tests/server/shutdown.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: every request that was accepted, or is on its way when the shutdown begins, is answered (rule 1).
 
 use crate::support::SingleEngine;
+use crate::support::client::encode_request;
 use crate::support::config::ProgramConfig;
 use crate::support::engines::EngineStandIns;
 use crate::support::event_bus::EventBusStandIn;
@@ -287,3 +288,35 @@
     program.wait_for_log("graceful shutdown started");
     assert!(program.wait_for_exit().success());
 }
+
+/// Refused messages pause the reading of their connection, here while the program begins to close idle connections. A
+/// request that arrives in the pause must be read before its connection is closed, or it is lost.
+#[test]
+fn a_request_that_arrives_while_reading_is_paused_is_answered_during_a_shutdown() {
+    const REFUSED: u32 = 25;
+    /// When the messages are sent that are refused, after SIGTERM. Reading pauses for 100 ms.
+    const REFUSED_AFTER: Duration = Duration::from_millis(930);
+    /// Idle connections are closed 1 s after SIGTERM. A request that is written later may meet a closed connection.
+    const LATEST_REQUEST: Duration = Duration::from_millis(980);
+    /// The test is repeated if a busy machine delays its request.
+    const MAX_REPETITIONS: usize = 20;
+    for _ in 0..MAX_REPETITIONS {
+        let SingleEngine { engines, bus: _bus, program, mut client } = SingleEngine::start();
+        program.signal("TERM");
+        let stopped_at = Instant::now();
+        std::thread::sleep(REFUSED_AFTER);
+        let refused = (1..=REFUSED).flat_map(|message| encode_request(message, "nonsense", &[], ""));
+        client.send_raw(&refused.collect::<Vec<u8>>());
+        for _ in 0..REFUSED {
+            assert!(client.next_answer().contains("unknown reservation type"));
+        }
+        client.submit(99, "lookup", 2000);
+        if stopped_at.elapsed() > LATEST_REQUEST {
+            continue;
+        }
+        engines.complete(99);
+        assert_eq!(client.next_answer(), "99: done ");
+        return;
+    }
+    panic!("the machine is too busy for the test");
+}
