Soak: a stop waits for another stop of the same gateway

Cause: Gateway::stop returned at once if another stop was under way. A fault that restarts gateways at the end of the play then started the next process beside the one that was ending, whose end was taken for a crash.

Change: stop waits for the end of the run that it was called for.

The plays of cases.rs run one after the other, as they use the same addresses. No check of the soak changes.

--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -226,19 +226,30 @@
         if has_many_clients { MANY_CLIENTS_SOCKET_LIMIT } else { SOCKET_LIMIT }
     }
 
-    /// Sends the signals of the stop plan and waits until the process has ended. Kills it after `Schedule::kill_after`.
-    /// Returns at once if another stop is under way.
+    /// Whether this run of the process has not ended.
+    fn is_running(&self, run: GatewayRun) -> bool {
+        self.run() == run.run && self.phase() != Phase::Down
+    }
+
+    async fn wait_until_ended(&self, run: GatewayRun) {
+        while self.is_running(run) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Sends the signals of the stop plan and waits until the current run of the process has ended. Kills it after
+    /// `Schedule::kill_after`. If another stop of this run is under way, only waits.
     pub async fn stop(&self, testbed: &Testbed) {
         let run = testbed.run_of(self.index);
         let start = Instant::now();
         let mut stopped_at = None;
         let mut signals = testbed.schedule.stop.signals.iter().peekable();
-        while self.phase() != Phase::Down {
+        while self.is_running(run) {
             while let Some(due) = signals.next_if(|next| start.elapsed() >= Duration::from_millis(next.at_ms))
             {
                 if due.signal != StopSignal::Reload && stopped_at.is_none() {
                     if !self.begin_stop(testbed, run) {
-                        return;
+                        return self.wait_until_ended(run).await;
                     }
                     stopped_at = Some(Instant::now());
                 }
--- a/crates/soak/tests/cases.rs
+++ b/crates/soak/tests/cases.rs
@@ -2,9 +2,14 @@
 
 use std::path::Path;
 use std::process::Command;
+use std::sync::{Mutex, PoisonError};
+
+/// Held during a play: all plays use the same addresses.
+static PLAY: Mutex<()> = Mutex::new(());
 
 /// Plays a schedule of `cases/` and expects it to pass. The soak prints the totals on its last line.
 fn play(case: &str) {
+    let _guard = PLAY.lock().unwrap_or_else(PoisonError::into_inner);
     let soak = Path::new(env!("CARGO_BIN_EXE_pebblevane-soak"));
     let program = soak.with_file_name("pebblevane");
     assert!(program.exists(), "no program at {}: the whole workspace is to be tested", program.display());
@@ -29,3 +34,10 @@
 fn starts_under_failing_calls() {
     play("starts-under-failing-calls.json");
 }
+
+/// A fault stops and restarts gateways while all gateways are stopped at the end. It must wait for a stop that is under
+/// way: it started the next process of a gateway beside the one that was ending, whose end then counted as a crash.
+#[test]
+fn overlapping_stops() {
+    play("overlapping-stops.json");
+}
