Soak: a cancellation is recorded before it is written

Cause: the soak's client wrote its cancellation and recorded it after that. The gateway, which was stopping, closed the idle connection at once, and the client's reader recorded the end of the request first. The record of the end and the gateway's "closing client connection" are 0.03 ms apart, and no line of the gateway answers or dispatches the job.

Change: the cancellation is recorded first. No rule of the checker changes.

--- a/crates/soak/src/client/connection.rs
+++ b/crates/soak/src/client/connection.rs
@@ -62,16 +62,16 @@
         self.reader.is_finished()
     }
 
-    /// Cancels a request.
+    /// Cancels a request. This is recorded first: the gateway may close the connection before the write returns here, and
+    /// that must not count as the loss of the request.
     pub(super) async fn cancel(
         &mut self,
         testbed: &Testbed,
         message_number: u32,
         request_index: usize,
     ) -> std::io::Result<()> {
-        self.writer.write_all(&encode_cancellation(message_number)).await?;
         testbed.history.record_request_end(request_index, RequestEnd::Abandoned);
-        Ok(())
+        self.writer.write_all(&encode_cancellation(message_number)).await
     }
 
     /// Closes the connection with its requests open.
