Test: the jobs whose clients leave arrive at once

Cause: the test submitted its 48 jobs one by one and waited for each at the engine, which answers nothing. An engine that has answered nothing for a while gets no more jobs, rightly; on a slow machine that came before the last job.

Change: the jobs are submitted while the program is suspended, so that it finds them at once. What the test demands is as before.

--- a/crates/server/tests/server/limits.rs
+++ b/crates/server/tests/server/limits.rs
@@ -66,11 +66,13 @@
     let program = Program::start_with(config.set("/settings/Ceilings/Cancelling", Json::Bool(false)));
 
     let mut leaving: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
-    let mut running = Vec::new();
-    for (message, client) in (1..).zip(&mut leaving) {
-        client.submit(message, "lookup", 60_000);
-        running.push(engines.next_line());
-    }
+    // All jobs arrive at once: an engine that has answered nothing for a while gets no more.
+    program.while_suspended(|| {
+        for (message, client) in (1..).zip(&mut leaving) {
+            client.submit(message, "lookup", 60_000);
+        }
+    });
+    let _running: Vec<ReceivedLine> = (0..CLIENTS).map(|_| engines.next_line()).collect();
     drop(leaving);
     let mut returning: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
     for client in &mut returning {
