Tests: the order of turns, and the memory of incomplete bus lines

connections_that_send_too_much_are_read_last and a_low_priority_turn_is_followed_by_a_rest fail without the priority and without the rest; incomplete_lines_of_all_connections_share_the_memory_of_one fails without the limit. Five other guards (messages in a turn, reading ahead, former holders of an address, retained ids, the end of a pause) already had a test that failed without them. No change of the product.

--- a/crates/server/src/client/event_loop/turns.rs
+++ b/crates/server/src/client/event_loop/turns.rs
@@ -4,6 +4,9 @@
 //! or which send very many at once, are read after all others, and get only a part of the thread's time together,
 //! however many they are.
 
+#[cfg(test)]
+mod tests;
+
 use crate::client::reading::ReadProgress;
 use crate::session::connection_failures::ConnectionId;
 use pebblevane::time::Timestamp;
--- a/crates/server/tests/server/slow_event_bus.rs
+++ b/crates/server/tests/server/slow_event_bus.rs
@@ -79,6 +79,28 @@
     assert!(started_at.elapsed() < KNOWN_WITHIN, "{:?}", started_at.elapsed());
 }
 
+/// The bus sends a part of a long line on each connection and then nothing more. The parts on all connections together
+/// take no more memory than one line may, or several silent connections would use up the memory limit.
+#[test]
+fn incomplete_lines_of_all_connections_share_the_memory_of_one() {
+    /// A sixteenth of the memory limit, the maximum length of a line.
+    const MAX_LINE_BYTES: usize = 24 * 1024 * 1024 / 16;
+    let engines = EngineStandIns::start(1);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        let part = vec![b' '; MAX_LINE_BYTES * 2 / 3];
+        let mut open = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.write_all(&part);
+            open.push(stream);
+        }
+    });
+    let program = Program::start_with(ProgramConfig::new(&engines, &address).limits(1.0, 24, 100));
+
+    program.wait_for_log(&format!("line longer than {MAX_LINE_BYTES} bytes"));
+}
+
 /// While the bus stays silent, the program makes further connections. Their number is bounded, and the oldest one stays
 /// open: it is the one that a very slow bus answers first.
 #[test]
